--- a/crates/heathertrack/src/dispatch/dispatcher.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher.rs
@@ -138,15 +138,15 @@
         if self.options.choice != Choice::EarliestFinish {
             return Rank::fifo(task);
         }
-        let rate = self.rate();
+        let rate = self.rate(now);
         let turn = self.fairness.turn(&task.customer, expected, rate, now);
         Rank::of(task, expected, turn, &self.options)
     }
 
     /// Takes a waiting task out, if it still waits.
-    pub fn cancel(&mut self, key: WaitKey) -> Option<T> {
+    pub fn cancel(&mut self, key: WaitKey, now: Time) -> Option<T> {
         let waiting = self.waiting.remove(key)?;
-        let rate = self.rate();
+        let rate = self.rate(now);
         self.fairness.refund(&waiting.task.customer, waiting.expected, rate);
         Some(self.leave_queue(waiting))
     }
@@ -158,13 +158,13 @@
     }
 
     /// Takes out the most urgent tasks that wait, at most `count`, to be run by a peer.
-    pub fn give_away(&mut self, count: usize, movable: impl Fn(&T) -> bool) -> Vec<T> {
+    pub fn give_away(&mut self, count: usize, now: Time, movable: impl Fn(&T) -> bool) -> Vec<T> {
         const WINDOW: usize = 64;
         let window = self.waiting.first(count.max(WINDOW));
         let movable =
             |key: &WaitKey| self.waiting.get(*key).is_some_and(|waiting| movable(&waiting.payload));
         let chosen: Vec<WaitKey> = window.into_iter().filter(movable).take(count).collect();
-        chosen.into_iter().filter_map(|key| self.cancel(key)).collect()
+        chosen.into_iter().filter_map(|key| self.cancel(key, now)).collect()
     }
 
     fn leave_queue(&mut self, waiting: Waiting<T>) -> T {
@@ -211,10 +211,14 @@
                 self.learn(&running, elapsed);
                 false
             }
-            Finish::Failed | Finish::Unsent => {
+            Finish::Failed => {
                 let ought = upstream.health.fail(now);
                 ought && self.eject(running.upstream, now)
             }
+            Finish::Unsent => {
+                upstream.health.miss(now);
+                false
+            }
             Finish::Abandoned => false,
         }
     }
@@ -243,6 +247,11 @@
         self.estimates.expect(class, declared)
     }
 
+    /// Whether a task's time is declared or learned, not guessed.
+    pub fn knows(&self, class: &crate::name::Class, declared: Duration) -> bool {
+        self.estimates.knows(class, declared)
+    }
+
     /// How busy this dispatcher is.
     pub fn load(&self, now: Time) -> Load {
         let mut free: Vec<FreeSlots> = Vec::new();
@@ -254,12 +263,13 @@
         }
         free.sort_by(|a, b| a.slowness.total_cmp(&b.slowness));
         let waiting = self.waiting.len() as u32;
-        Load { free, waiting, backlog: self.backlog, rate: self.rate() }
+        Load { free, waiting, backlog: self.backlog, rate: self.rate(now) }
     }
 
     /// Ordinary seconds of work done per second when all slots are busy.
-    fn rate(&self) -> f64 {
-        let usable = self.upstreams.values().filter(|u| u.owned && !u.health.is_out());
+    fn rate(&self, now: Time) -> f64 {
+        let good = |u: &&Upstream| u.owned && u.health.standing(now) == Standing::Good;
+        let usable = self.upstreams.values().filter(good);
         usable.map(|u| f64::from(u.spec.slots) / u.learned_slowness()).sum()
     }
 
--- a/crates/heathertrack/src/dispatch/estimate.rs
+++ b/crates/heathertrack/src/dispatch/estimate.rs
@@ -6,7 +6,7 @@
 /// Classes whose run times are learned apart; further ones share one estimate.
 const MAX_CLASSES: usize = 256;
 /// Expected time of a task of which nothing is known.
-const UNKNOWN: Duration = Duration::from_millis(300);
+const UNKNOWN: Duration = Duration::from_millis(100);
 /// Least weight of a new observation.
 const LEAST_WEIGHT: f64 = 0.05;
 /// Largest step of one observation, as a natural logarithm; tames heavy tails.
@@ -68,6 +68,12 @@
         Duration::from_secs_f64(learned.undeclared.factor().clamp(1e-5, 3_600.0))
     }
 
+    /// Whether a task's time is declared or learned, not guessed.
+    pub fn knows(&self, class: &Class, declared: Duration) -> bool {
+        let learned = self.classes.get(class).unwrap_or(&self.other);
+        !declared.is_zero() || learned.undeclared.seen() > 0
+    }
+
     /// Learns from a task that took `ordinary` once its upstream's slowness was taken out.
     pub fn learn(&mut self, task: &Task, ordinary: Duration) {
         let seconds = ordinary.as_secs_f64().max(1e-6);
--- a/crates/heathertrack/src/dispatch/health.rs
+++ b/crates/heathertrack/src/dispatch/health.rs
@@ -13,6 +13,10 @@
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause between trial tasks.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+/// First pause after a connection was refused; nothing was lost by it but a moment.
+const FIRST_UNREACHABLE: Duration = Duration::from_millis(50);
+/// Longest pause between attempts to reach an upstream.
+const LONGEST_UNREACHABLE: Duration = Duration::from_secs(5);
 /// Trial tasks in a row that must succeed.
 const TRIALS: u32 = 2;
 
@@ -25,6 +29,8 @@
     Ejected(Time),
     /// It gets one task at a time, of little worth.
     OnTrial,
+    /// It gets nothing until then, as it took no connection.
+    Unreachable(Time),
 }
 
 /// Judges one upstream by how the tasks on it end.
@@ -36,6 +42,8 @@
     ejected_until: Option<Time>,
     pause: Duration,
     successes_on_trial: u32,
+    unreachable_until: Time,
+    unreachable_pause: Duration,
 }
 
 impl Default for Health {
@@ -47,6 +55,8 @@
             ejected_until: None,
             pause: FIRST_PAUSE,
             successes_on_trial: 0,
+            unreachable_until: Time::ZERO,
+            unreachable_pause: FIRST_UNREACHABLE,
         }
     }
 }
@@ -54,6 +64,9 @@
 impl Health {
     /// Whether the upstream may get tasks now.
     pub fn standing(&self, now: Time) -> Standing {
+        if now < self.unreachable_until {
+            return Standing::Unreachable(self.unreachable_until);
+        }
         match self.ejected_until {
             None => Standing::Good,
             Some(until) if now < until => Standing::Ejected(until),
@@ -66,8 +79,15 @@
         self.ejected_until.is_some()
     }
 
+    /// Notes that it took no connection. No task was lost by it, so this counts as no failure.
+    pub fn miss(&mut self, now: Time) {
+        self.unreachable_until = now + self.unreachable_pause;
+        self.unreachable_pause = (2 * self.unreachable_pause).min(LONGEST_UNREACHABLE);
+    }
+
     /// Notes a success; enough of them on trial let the upstream back.
     pub fn succeed(&mut self, now: Time) {
+        self.unreachable_pause = FIRST_UNREACHABLE;
         self.note(0.0);
         self.failures_in_a_row = 0;
         if self.standing(now) != Standing::OnTrial {
--- a/crates/heathertrack/src/share/seat.rs
+++ b/crates/heathertrack/src/share/seat.rs
@@ -26,15 +26,16 @@
     let offset = offset(customer);
     let of_seat = |seat: Seat| {
         let place = (u32::from(seat.0) + offset) % u32::from(SEATS);
-        each + u32::from(spread(place) < rest)
+        each + u32::from(has_one_more(place, rest))
     };
     seats.into_iter().map(of_seat).sum()
 }
 
-/// Spaces the seats that get one more, so that they fall to different hosts.
-fn spread(place: u32) -> u32 {
-    // 23 shares no factor with 60, so this is a permutation.
-    place * 23 % u32::from(SEATS)
+/// Whether the seat at this place gets one of the `rest`, spaced evenly over all places.
+fn has_one_more(place: u32, rest: u32) -> bool {
+    let before = place * rest / u32::from(SEATS);
+    let after = (place + 1) * rest / u32::from(SEATS);
+    after > before
 }
 
 fn offset(customer: &Customer) -> u32 {
--- a/crates/heathertrack/tests/fuzz/lists.rs
+++ b/crates/heathertrack/tests/fuzz/lists.rs
@@ -1,1 +1,40 @@
+//! Promise 8: a list in force never goes back, whatever order its versions come in.
 
+use crate::harness::{Effort, check};
+use heathertrack::lists::{Book, Revision, Versioned};
+use quickcheck::TestResult;
+
+const EFFORT: Effort = Effort { length: 60, cases: 1_000 };
+
+/// Versions as they come: stale, doubled, out of order, some with faults.
+fn holds(arrivals: Vec<(u8, bool)>) -> TestResult {
+    let mut book = Book::default();
+    let mut newest_good = None;
+    let mut newest = None;
+    for (revision, good) in arrivals {
+        let revision = Revision(u64::from(revision) + 1);
+        let is_new = Some(revision) > newest;
+        let taken = if good {
+            book.offer(Versioned { revision, value: revision })
+        } else {
+            book.reject(revision)
+        };
+        if taken != is_new {
+            return TestResult::error(format!("{revision:?} was taken: {taken}"));
+        }
+        newest = newest.max(Some(revision));
+        if good && is_new {
+            newest_good = Some(revision);
+        }
+        let in_force = book.in_force().map(|versioned| versioned.value);
+        if in_force != newest_good || book.revision() != newest_good.unwrap_or_default() {
+            return TestResult::error(format!("{in_force:?} is in force, not {newest_good:?}"));
+        }
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn a_list_in_force_never_goes_back() {
+    check(EFFORT, holds as fn(Vec<(u8, bool)>) -> TestResult);
+}
--- a/crates/heathertrack/tests/fuzz/main.rs
+++ b/crates/heathertrack/tests/fuzz/main.rs
@@ -3,6 +3,11 @@
 //! Seeds are fixed; `HEATHERTRACK_SEEDS=n` runs seeds 1 to n. A failure prints its seed and the
 //! shrunk sequence.
 
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck properties take their arguments by value"
+)]
+
 mod allowance;
 mod at_most_once;
 mod dispatcher;
--- a/crates/heathertrack/tests/fuzz/queue.rs
+++ b/crates/heathertrack/tests/fuzz/queue.rs
@@ -1,1 +1,144 @@
+//! The queue against a sorted list.
 
+use crate::harness::{Effort, check};
+use heathertrack::clock::Time;
+use heathertrack::dispatch::{Objective, Options, Queue, Rank, Task, WaitKey};
+use heathertrack::name::{Class, Customer};
+use quickcheck::{Arbitrary, Gen, TestResult};
+use std::time::Duration;
+
+const EFFORT: Effort = Effort { length: 200, cases: 500 };
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Push { arrived_ms: u16, ideal_ms: u16, deadline_ms: u16 },
+    Remove { which: usize },
+    PopFirst,
+    Expire { now_ms: u16 },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Event::Push {
+                arrived_ms: u16::arbitrary(g) % 200,
+                ideal_ms: u16::arbitrary(g) % 50,
+                deadline_ms: u16::arbitrary(g) % 2_000,
+            },
+            4 => Event::Remove { which: usize::arbitrary(g) },
+            5 | 6 => Event::PopFirst,
+            _ => Event::Expire { now_ms: u16::arbitrary(g) % 1_000 },
+        }
+    }
+}
+
+/// What waits, in the slow and obvious way.
+struct Waiting {
+    rank: Rank,
+    deadline: Time,
+    key: WaitKey,
+    number: usize,
+}
+
+fn task(arrived_ms: u16, ideal_ms: u16) -> Task {
+    let ideal = Duration::from_millis(u64::from(ideal_ms));
+    Task {
+        customer: Customer::new("kadriorg-crafts"),
+        class: Class::new("cut-plan"),
+        worth: 1.0,
+        arrived: Time::from_millis(u64::from(arrived_ms)),
+        deadline: Time::from_millis(10_000),
+        declared: ideal,
+        needs: Default::default(),
+        job_longest: ideal,
+        job_work: ideal,
+    }
+}
+
+fn rank(arrived_ms: u16, ideal_ms: u16) -> Rank {
+    let task = task(arrived_ms, ideal_ms);
+    Rank::of(&task, task.declared, Time::ZERO, &Options::default())
+}
+
+/// The first in order; equal ranks by arrival.
+fn first(waiting: &[Waiting]) -> Option<usize> {
+    (0..waiting.len()).min_by_key(|at| (waiting[*at].rank, waiting[*at].number))
+}
+
+fn holds(events: Vec<Event>) -> TestResult {
+    let mut queue: Queue<usize> = Queue::default();
+    let mut waiting: Vec<Waiting> = Vec::new();
+    for (number, event) in events.into_iter().enumerate() {
+        match event {
+            Event::Push { arrived_ms, ideal_ms, deadline_ms } => {
+                let rank = rank(arrived_ms, ideal_ms);
+                let deadline = Time::from_millis(u64::from(deadline_ms));
+                let key = queue.push(rank, deadline, number);
+                waiting.push(Waiting { rank, deadline, key, number });
+            }
+            Event::Remove { which } if !waiting.is_empty() => {
+                let gone = waiting.swap_remove(which % waiting.len());
+                if queue.remove(gone.key) != Some(gone.number) || queue.get(gone.key).is_some() {
+                    return TestResult::error("a value was lost or stayed");
+                }
+            }
+            Event::Remove { .. } => {}
+            Event::PopFirst => {
+                let expected = first(&waiting).map(|at| waiting.swap_remove(at).number);
+                let popped = queue.first(1).first().and_then(|key| queue.remove(*key));
+                if popped != expected {
+                    return TestResult::error(format!("{popped:?} came, not {expected:?}"));
+                }
+            }
+            Event::Expire { now_ms } => {
+                let now = Time::from_millis(u64::from(now_ms));
+                let mut expired = queue.expire(now);
+                let (due, stay) =
+                    waiting.into_iter().partition::<Vec<Waiting>, _>(|w| w.deadline <= now);
+                waiting = stay;
+                let mut due: Vec<usize> = due.iter().map(|w| w.number).collect();
+                due.sort_unstable();
+                expired.sort_unstable();
+                if expired != due {
+                    return TestResult::error("not exactly what was due expired");
+                }
+            }
+        }
+        if queue.len() != waiting.len() {
+            return TestResult::error("the queue and the list differ in length");
+        }
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn the_queue_keeps_order_and_loses_nothing() {
+    check(EFFORT, holds as fn(Vec<Event>) -> TestResult);
+}
+
+#[test]
+fn a_waiting_task_is_passed_only_by_what_comes_within_its_patience() {
+    let options = Options::default();
+    let long = task(0, 200);
+    let patience = options.patience * 0.2;
+    let soon = task((patience * 900.0) as u16, 1);
+    let late = task((patience * 1_100.0) as u16, 1);
+
+    let rank = |task: &Task| Rank::of(task, task.declared, Time::ZERO, &options);
+
+    assert!(rank(&soon) < rank(&long));
+    assert!(rank(&long) < rank(&late));
+}
+
+#[test]
+fn worth_counts_only_under_its_objective() {
+    let ordinary = task(0, 100);
+    let worthy = Task { worth: 5.0, ..ordinary.clone() };
+
+    let rank = |task: &Task, objective| {
+        Rank::of(task, task.declared, Time::ZERO, &Options::default().objective(objective))
+    };
+
+    assert!(rank(&worthy, Objective::Worth) < rank(&ordinary, Objective::Worth));
+    assert_eq!(rank(&worthy, Objective::Response), rank(&ordinary, Objective::Response));
+}
--- a/crates/heathertrack_testkit/src/fixture.rs
+++ b/crates/heathertrack_testkit/src/fixture.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod host;
+mod load;
 mod plan;
 mod ports;
 mod process;
@@ -10,6 +11,7 @@
 
 pub use cluster::Cluster;
 pub use host::Host;
+pub use load::Load;
 pub use plan::{Plan, customers};
 pub use ports::free_address;
 pub use process::Process;
--- a/crates/heathertrack_testkit/src/lib.rs
+++ b/crates/heathertrack_testkit/src/lib.rs
@@ -21,3 +21,9 @@
 pub mod relay;
 pub mod server;
 pub mod upstream;
+
+/// Wall time in Unix microseconds; the same for all processes of a test.
+pub fn wall_us() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |span| u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/heathertrack_testkit/src/oracle.rs
+++ b/crates/heathertrack_testkit/src/oracle.rs
@@ -13,38 +13,67 @@
 #[derive(Debug, Default)]
 struct Job {
     tasks: usize,
-    answers: Vec<Answer>,
+    told: Vec<Told>,
 }
 
+/// An answer and when it came, in Unix microseconds.
+#[derive(Debug)]
+struct Told {
+    answer: Answer,
+    at_us: u64,
+}
+
+/// Starts by task key.
+type Starts<'a> = BTreeMap<&'a str, Vec<&'a Start>>;
+
 impl Oracle {
-    /// Notes that a job of this many tasks got an answer. Resubmissions share its key.
+    /// Notes that a job of this many tasks just got an answer. Resubmissions share its key.
     pub fn note(&mut self, key: &str, tasks: usize, answer: Answer) {
         let job = self.jobs.entry(key.to_owned()).or_default();
         job.tasks = tasks;
-        job.answers.push(answer);
+        job.told.push(Told { answer, at_us: crate::wall_us() });
+    }
+
+    /// Takes in what another one knows.
+    pub fn merge(&mut self, other: Oracle) {
+        for (key, job) in other.jobs {
+            let own = self.jobs.entry(key).or_default();
+            own.tasks = job.tasks;
+            own.told.extend(job.told);
+        }
+    }
+
+    /// Answers by status; zero stands for none.
+    pub fn statuses(&self) -> BTreeMap<u16, usize> {
+        let mut statuses = BTreeMap::new();
+        for told in self.jobs.values().flat_map(|job| &job.told) {
+            *statuses.entry(told.answer.status).or_default() += 1;
+        }
+        statuses
     }
 
     /// Everything in which the starts and the answers break a promise.
     pub fn faults(&self, starts: &[Start]) -> Vec<String> {
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut by_task: Starts = BTreeMap::new();
         for start in starts {
-            *counts.entry(&start.key).or_default() += 1;
+            by_task.entry(&start.key).or_default().push(start);
         }
-        let mut faults: Vec<String> = counts
+        let mut faults: Vec<String> = by_task
             .iter()
-            .filter(|(_, count)| **count > 1)
-            .map(|(key, count)| format!("task {key} started {count} times"))
+            .filter(|(_, starts)| starts.len() > 1)
+            .map(|(key, starts)| format!("task {key} started {} times", starts.len()))
             .collect();
         for (key, job) in &self.jobs {
-            job.check(key, &counts, &mut faults);
+            job.check_refusals(key, &by_task, &mut faults);
+            job.check_answers(key, &mut faults);
         }
         faults
     }
 
     /// Answers that were complete.
     pub fn complete(&self) -> usize {
-        let answers = self.jobs.values().flat_map(|job| &job.answers);
-        answers.filter(|answer| answer.status == 200).count()
+        let told = self.jobs.values().flat_map(|job| &job.told);
+        told.filter(|told| told.answer.status == 200).count()
     }
 
     /// Jobs noted.
@@ -54,16 +83,28 @@
 }
 
 impl Job {
-    fn check(&self, key: &str, counts: &BTreeMap<&str, usize>, faults: &mut Vec<String>) {
-        let started = (0..self.tasks).any(|i| counts.contains_key(format!("{key}/{i}").as_str()));
-        let mut whole: Option<&Answer> = None;
-        for answer in &self.answers {
-            if answer.says_not_run() && started {
+    /// When a refusal that says "not run" came, nothing had started. Something may start later
+    /// only if the job was submitted again, and so got another answer later.
+    fn check_refusals(&self, key: &str, by_task: &Starts, faults: &mut Vec<String>) {
+        let first_start = (0..self.tasks)
+            .filter_map(|index| by_task.get(format!("{key}/{index}").as_str()))
+            .flatten()
+            .map(|start| start.started_us)
+            .min();
+        let Some(first_start) = first_start else { return };
+        for told in self.told.iter().filter(|told| told.answer.says_not_run()) {
+            let again = self.told.iter().any(|other| other.at_us > told.at_us);
+            if first_start < told.at_us {
                 faults.push(format!("job {key} was said not to have run, and did"));
+            } else if !again {
+                faults.push(format!("job {key} ran after it was last said not to have run"));
             }
-            if answer.status != 200 {
-                continue;
-            }
+        }
+    }
+
+    fn check_answers(&self, key: &str, faults: &mut Vec<String>) {
+        let mut whole: Option<&Answer> = None;
+        for Told { answer, .. } in self.told.iter().filter(|told| told.answer.status == 200) {
             self.check_whole(key, answer, faults);
             if whole.is_some_and(|other| other != answer) {
                 faults.push(format!("job {key} got two different answers"));
--- a/crates/heathertrack_testkit/src/upstream.rs
+++ b/crates/heathertrack_testkit/src/upstream.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
@@ -20,7 +20,6 @@
 pub struct Upstream {
     inner: Arc<Mutex<Inner>>,
     slots: Arc<Semaphore>,
-    epoch: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -43,7 +42,6 @@
         Upstream {
             inner: Arc::new(Mutex::new(Inner { starts: Vec::new(), setting })),
             slots: Arc::new(Semaphore::new(slots)),
-            epoch: Instant::now(),
         }
     }
 
@@ -83,14 +81,14 @@
         }
         let index = self.write_down(&request);
         let action = self.run(&request).await;
-        let ended = self.now_us();
+        let ended = crate::wall_us();
         self.lock().starts[index].ended_us = Some(ended);
         action
     }
 
     /// Writes the start down before anything else.
     fn write_down(&self, request: &Whole) -> usize {
-        let started_us = self.now_us();
+        let started_us = crate::wall_us();
         let mut inner = self.lock();
         let key = request.task_key.clone();
         inner.starts.push(Start { key, path: request.path.clone(), started_us, ended_us: None });
@@ -113,10 +111,6 @@
         json(&serde_json::json!({"task": request.task_key, "path": request.path, "body": body}))
     }
 
-    fn now_us(&self) -> u64 {
-        u64::try_from(self.epoch.elapsed().as_micros()).unwrap_or(u64::MAX)
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no request panics while it holds the starts")
     }
--- a/crates/heathertrack_testkit/src/upstream/start.rs
+++ b/crates/heathertrack_testkit/src/upstream/start.rs
@@ -7,7 +7,7 @@
     pub key: String,
     /// Its path.
     pub path: String,
-    /// When it started, in microseconds since the stand-in did.
+    /// When it started, in Unix microseconds.
     pub started_us: u64,
     /// When it ended, if it did.
     pub ended_us: Option<u64>,
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -0,0 +1,95 @@
+//! Allowances over all hosts: exact in sum, and moved to where they are needed.
+
+use heathertrack_testkit::client::Answer;
+use heathertrack_testkit::fixture::{Cluster, Plan};
+use heathertrack_testkit::upstream::Start;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Most tasks out at one moment, as all upstreams together saw it.
+fn most_at_once(starts: &[Start]) -> usize {
+    let mut edges: Vec<(u64, i32)> = Vec::new();
+    for start in starts {
+        edges.push((start.started_us, 1));
+        edges.push((start.ended_us.unwrap_or(u64::MAX), -1));
+    }
+    // An end at the same moment as a start comes first.
+    edges.sort_unstable();
+    let mut out = 0;
+    let mut most = 0;
+    for (_, change) in edges {
+        out += change;
+        most = most.max(out);
+    }
+    usize::try_from(most).unwrap_or_default()
+}
+
+async fn submit_everywhere(cluster: &Cluster, jobs: usize, tasks: usize, ms: u64) -> Vec<Answer> {
+    let mut sending = JoinSet::new();
+    for number in 0..jobs {
+        let host = cluster.hosts[number % cluster.hosts.len()].callers;
+        let caller = cluster.caller("kadriorg-crafts");
+        let job = cluster.job(tasks, ms);
+        sending.spawn(async move { caller.submit(&host, None, &job).await });
+    }
+    sending.join_all().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_at_once_stay_within_the_allowance_over_all_hosts() {
+    // One upstream with slots to spare, so that only the allowance holds the tasks back.
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(3).upstreams(&[1.0]);
+    let cluster = Cluster::start(plan.allowance("workshop", 5, 1_000.0)).await;
+
+    let answers = submit_everywhere(&cluster, 12, 10, 30).await;
+
+    for answer in answers {
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    }
+    let starts = cluster.starts().await;
+    assert_eq!(starts.len(), 120);
+    assert!(most_at_once(&starts) <= 5, "{} at once", most_at_once(&starts));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_host_can_use_the_whole_allowance_when_the_others_are_idle() {
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(3).upstreams(&[1.0]);
+    let cluster = Cluster::start(plan.allowance("workshop", 6, 1_000.0)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+
+    let answer = caller.submit(&cluster.hosts[1].callers, None, &cluster.job(60, 100)).await;
+
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    let most = most_at_once(&cluster.starts().await);
+    assert_eq!(most, 6, "all of the allowance was used by one host, and no more");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_host_takes_its_part_along_and_no_more() {
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(3).upstreams(&[1.0]);
+    let mut cluster = Cluster::start(plan.allowance("workshop", 6, 1_000.0)).await;
+    cluster.hosts[2].process.kill();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+
+    let answer = caller.submit(&cluster.hosts[0].callers, None, &cluster.job(40, 50)).await;
+
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    let most = most_at_once(&cluster.starts().await);
+    assert!((4..=6).contains(&most), "{most} at once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_beyond_the_allowance_are_refused_at_once_or_wait() {
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(2).upstreams(&[1.0]);
+    let cluster = Cluster::start(plan.allowance("workshop", 100, 5.0)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let host = cluster.hosts[0].callers;
+    let hopeless = r#"{"deadline_ms": 1000, "tasks": [TASKS]}"#
+        .replace("TASKS", &vec![r#"{"path": "/a"}"#; 100].join(","));
+
+    let refused = caller.submit(&host, None, &hopeless).await;
+
+    assert_eq!((refused.status, refused.run().as_str()), (429, "not_run"));
+    assert_eq!(cluster.starts().await.len(), 0);
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/cut.rs
@@ -0,0 +1,77 @@
+//! Data centres that are cut off from each other and from the platform.
+
+use heathertrack_testkit::client::mint;
+use heathertrack_testkit::fixture::{Cluster, Load, Plan, customers, eventually};
+use std::time::Duration;
+
+/// Whether a name is that of a host of the first data centre.
+fn is_first(name: &str) -> bool {
+    name == "e1" || name == "e2"
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_sides_of_a_cut_serve_on_and_start_nothing_twice() {
+    let cluster = Cluster::start(Plan::default().relays()).await;
+    let load = Load::start(&cluster, "pirita-souvenirs", 12, 30);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    cluster.cut(|from, to| {
+        let platform = Cluster::is_platform(to) && is_first(from);
+        platform || (!Cluster::is_platform(to) && is_first(from) != is_first(to))
+    });
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut during = Vec::new();
+    for host in &cluster.hosts {
+        let caller = cluster.caller("kadriorg-crafts");
+        let key = format!("{}/1", caller.ticket(&host.callers).await);
+        during.push(caller.submit(&host.callers, Some(&key), &cluster.job(5, 10)).await);
+    }
+    cluster.mend();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let oracle = load.end().await;
+
+    for answer in during {
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    }
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+    cluster.wait_ready().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_cut_from_the_platform_gets_edits_from_the_others() {
+    let plan = Plan::default().relays();
+    let mut listed = plan.customers.clone();
+    let cluster = Cluster::start(plan).await;
+    cluster.cut(|from, to| Cluster::is_platform(to) && is_first(from));
+
+    listed.push(("nomme-stone".to_owned(), "workshop".to_owned(), 1.0));
+    cluster.write_list("plans", &customers(&listed)).await;
+
+    for host in &cluster.hosts {
+        eventually("the edit is in force", || async {
+            let caller = cluster.caller("nomme-stone");
+            caller.submit(&host.callers, None, &cluster.job(1, 1)).await.status == 200
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_minted_key_claimed_beyond_a_cut_is_not_started_again() {
+    let cluster = Cluster::start(Plan::default().relays()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let key = mint();
+    let job = cluster.job(1, 5);
+    let first = caller.submit(&cluster.hosts[0].callers, Some(&key), &job).await;
+
+    // The other data centre still has the platform, but cannot ask the key's home.
+    cluster.cut(|from, to| is_first(from) != is_first(to) && !Cluster::is_platform(to));
+    let beyond = caller.submit(&cluster.hosts[2].callers, Some(&key), &job).await;
+    cluster.mend();
+
+    assert_eq!(first.status, 200);
+    assert_eq!(beyond.run(), "may_have_run", "{}", String::from_utf8_lossy(&beyond.body));
+    assert_eq!(cluster.starts().await.len(), 1);
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/freeze.rs
@@ -0,0 +1,53 @@
+//! An entry host that stands still past every time limit and then goes on.
+
+use heathertrack_testkit::client::mint;
+use heathertrack_testkit::fixture::{Cluster, Load, Plan};
+use std::time::Duration;
+
+/// Longer than heartbeats, loans and the pause after which seats are in doubt.
+const LONG_PAUSE: Duration = Duration::from_secs(12);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_frozen_and_thawed_starts_nothing_twice() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let load = Load::start(&cluster, "pirita-souvenirs", 12, 30);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    cluster.hosts[0].process.freeze();
+    tokio::time::sleep(LONG_PAUSE).await;
+    cluster.hosts[0].process.thaw();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let oracle = load.end().await;
+
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+    cluster.wait_ready().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_sent_to_a_frozen_home_is_not_started_elsewhere() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let ticket = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let minted = mint();
+    let job = cluster.job(1, 5);
+    // The minted key's home is the host that is frozen.
+    let first = caller.submit(&cluster.hosts[0].callers, Some(&minted), &job).await;
+
+    cluster.hosts[0].process.freeze();
+    let sent = {
+        let (caller, host, key, job) =
+            (caller.clone(), cluster.hosts[1].callers, ticket.clone(), job.clone());
+        tokio::spawn(async move { caller.submit(&host, Some(&key), &job).await })
+    };
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.hosts[0].process.thaw();
+    let sent = sent.await.expect("the caller does not panic");
+    let again = caller.submit(&cluster.hosts[2].callers, Some(&minted), &job).await;
+
+    assert_eq!(first.status, 200);
+    assert_eq!(sent.status, 200, "{}", String::from_utf8_lossy(&sent.body));
+    assert_eq!(again, first);
+    assert_eq!(cluster.starts().await.len(), 2);
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/kill.rs
@@ -0,0 +1,72 @@
+//! Entry hosts that die: nothing starts twice, every refusal is true, the others serve on.
+
+use heathertrack_testkit::client::mint;
+use heathertrack_testkit::fixture::{Cluster, Load, Plan, eventually};
+use std::time::Duration;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_are_killed_and_replaced_start_nothing_twice() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let load = Load::start(&cluster, "pirita-souvenirs", 12, 30);
+
+    for victim in [0, 3] {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        cluster.hosts[victim].process.kill();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        cluster.hosts[victim].restart();
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let oracle = load.end().await;
+
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+    cluster.wait_ready().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_of_a_replaced_process_is_not_taken_by_its_successor() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let job = cluster.job(1, 5);
+    let used = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let unused = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let first = caller.submit(&cluster.hosts[0].callers, Some(&used), &job).await;
+
+    cluster.hosts[0].process.kill();
+    cluster.hosts[0].restart();
+    eventually("the replaced host is ready", || cluster.hosts[0].is_ready()).await;
+    let mut answers = Vec::new();
+    for host in &cluster.hosts {
+        answers.push(caller.submit(&host.callers, Some(&used), &job).await);
+        answers.push(caller.submit(&host.callers, Some(&unused), &job).await);
+    }
+
+    assert_eq!(first.status, 200);
+    for answer in answers {
+        assert_eq!(answer.run(), "may_have_run", "{}", String::from_utf8_lossy(&answer.body));
+    }
+    assert_eq!(cluster.starts().await.len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_that_dies_with_a_claim_leaves_its_key_unstarted_for_good() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let key = mint();
+    let slow = cluster.job(1, 3_000);
+
+    let first = {
+        let (caller, host, key, slow) =
+            (caller.clone(), cluster.hosts[1].callers, key.clone(), slow.clone());
+        tokio::spawn(async move { caller.submit(&host, Some(&key), &slow).await })
+    };
+    eventually("the task has started", || async { cluster.starts().await.len() == 1 }).await;
+    cluster.hosts[1].process.kill();
+    let first = first.await.expect("the caller does not panic");
+    let again = caller.submit(&cluster.hosts[2].callers, Some(&key), &slow).await;
+
+    assert_eq!(first.status, 0);
+    assert_eq!(again.run(), "may_have_run", "{}", String::from_utf8_lossy(&again.body));
+    assert_eq!(cluster.starts().await.len(), 1);
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/outage.rs
@@ -0,0 +1,130 @@
+//! The platform's store down, slow, stale, or with its answers lost.
+
+use heathertrack_testkit::client::mint;
+use heathertrack_testkit::fixture::{Cluster, Load, Plan, customers, eventually};
+use heathertrack_testkit::platform::Fault;
+use std::time::Duration;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_store_starts_nothing_twice() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let load = Load::start(&cluster, "pirita-souvenirs", 12, 20);
+    let faults = [
+        Fault { down: true, ..Fault::default() },
+        Fault::default(),
+        Fault { lose_answers: true, ..Fault::default() },
+        Fault { slow_ms: 700, ..Fault::default() },
+        Fault { stale_reads: true, ..Fault::default() },
+        Fault { down: true, hosts_down: true, ..Fault::default() },
+    ];
+
+    for fault in faults {
+        cluster.platform_fault(fault).await;
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    cluster.platform_fault(Fault::default()).await;
+    let oracle = load.end().await;
+
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_store_is_down_tickets_serve_and_minted_keys_are_refused_truthfully() {
+    let cluster = Cluster::start(Plan::default().limit("clock_skew_ms", 50)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let job = cluster.job(1, 5);
+    let ran = mint();
+    let first = caller.submit(&cluster.hosts[0].callers, Some(&ran), &job).await;
+
+    cluster.platform_fault(Fault { down: true, ..Fault::default() }).await;
+    let ticket = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let by_ticket = caller.submit(&cluster.hosts[3].callers, Some(&ticket), &job).await;
+    let fresh = caller.submit(&cluster.hosts[0].callers, Some(&mint()), &job).await;
+    let at_home = caller.submit(&cluster.hosts[0].callers, Some(&ran), &job).await;
+    let elsewhere = caller.submit(&cluster.hosts[2].callers, Some(&ran), &job).await;
+
+    assert_eq!((first.status, by_ticket.status), (200, 200));
+    assert_eq!((fresh.status, fresh.run().as_str()), (503, "not_run"));
+    assert_eq!(at_home, first);
+    assert_eq!(elsewhere.run(), "may_have_run");
+    assert_eq!(cluster.starts().await.len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_answer_was_lost_starts_its_key_once() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let job = cluster.job(1, 5);
+    let key = mint();
+
+    cluster.platform_fault(Fault { lose_answers: true, ..Fault::default() }).await;
+    let lost = caller.submit(&cluster.hosts[0].callers, Some(&key), &job).await;
+    let none_started = cluster.starts().await.is_empty();
+    cluster.platform_fault(Fault::default()).await;
+    // The claim names the first host, which never began the job.
+    let again = caller.submit(&cluster.hosts[3].callers, Some(&key), &job).await;
+    let at_home = caller.submit(&cluster.hosts[0].callers, Some(&key), &job).await;
+
+    assert_eq!(lost.status, 503, "{}", String::from_utf8_lossy(&lost.body));
+    assert!(none_started);
+    assert_eq!(again.status, 200, "{}", String::from_utf8_lossy(&again.body));
+    assert_eq!(at_home, again);
+    assert_eq!(cluster.starts().await.len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_while_the_store_is_down_takes_the_lists_from_a_peer() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    cluster.platform_fault(Fault { down: true, ..Fault::default() }).await;
+
+    cluster.hosts[0].process.kill();
+    cluster.hosts[0].restart();
+    eventually("the host is ready", || cluster.hosts[0].is_ready()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let key = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let answer = caller.submit(&cluster.hosts[0].callers, Some(&key), &cluster.job(3, 5)).await;
+
+    // It has no seats: what it uses, it borrows.
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_never_goes_back_and_a_faulty_one_changes_nothing() {
+    let plan = Plan::default();
+    let mut listed = plan.customers.clone();
+    let cluster = Cluster::start(plan).await;
+    listed.push(("nomme-stone".to_owned(), "workshop".to_owned(), 1.0));
+    cluster.write_list("plans", &customers(&listed)).await;
+    let serves = || async {
+        let caller = cluster.caller("nomme-stone");
+        let mut all = true;
+        for host in &cluster.hosts {
+            let answer = caller.submit(&host.callers, None, &cluster.job(1, 1)).await;
+            all &= answer.status == 200;
+        }
+        all
+    };
+    eventually("the edit is in force", serves).await;
+
+    cluster.platform_fault(Fault { stale_reads: true, ..Fault::default() }).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let kept_when_stale = serves().await;
+    cluster.platform_fault(Fault::default()).await;
+    cluster.write_list("plans", &serde_json::json!({"customers": {"x": {"plam": 1}}})).await;
+    eventually("every host reports the findings", || async {
+        let mut reported = 0;
+        for host in &cluster.hosts {
+            let status = host.status().await;
+            let faults = status.and_then(|status| status.plans.faults).unwrap_or_default();
+            reported += usize::from(faults.contains("customers.x"));
+        }
+        reported == cluster.hosts.len()
+    })
+    .await;
+    let kept_when_faulty = serves().await;
+
+    assert!(kept_when_stale);
+    assert!(kept_when_faulty);
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/stop.rs
@@ -0,0 +1,73 @@
+//! Planned stops: of one host under load, and of all hosts one after the other.
+
+use heathertrack_testkit::client::mint;
+use heathertrack_testkit::fixture::{Cluster, Load, PATIENCE, Plan};
+use std::time::Duration;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_job_and_keeps_its_answers() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let stopping = cluster.hosts[0].callers;
+    let by_ticket = format!("{}/1", caller.ticket(&stopping).await);
+    let unused = format!("{}/1", caller.ticket(&stopping).await);
+    let (minted, running) = (mint(), mint());
+    let job = cluster.job(3, 20);
+    let long = cluster.job(2, 1_500);
+    let first = caller.submit(&stopping, Some(&by_ticket), &job).await;
+    let second = caller.submit(&stopping, Some(&minted), &job).await;
+    let in_progress = {
+        let (caller, key, long) = (caller.clone(), running.clone(), long.clone());
+        tokio::spawn(async move { caller.submit(&stopping, Some(&key), &long).await })
+    };
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    cluster.hosts[0].process.terminate();
+    let in_progress = in_progress.await.expect("the caller does not panic");
+    let status = cluster.hosts[0].process.ended(PATIENCE).await;
+    let mut again = Vec::new();
+    for host in &cluster.hosts[1..] {
+        again.push((caller.submit(&host.callers, Some(&by_ticket), &job).await, &first));
+        again.push((caller.submit(&host.callers, Some(&minted), &job).await, &second));
+        again.push((caller.submit(&host.callers, Some(&running), &long).await, &in_progress));
+    }
+    let late = caller.submit(&cluster.hosts[2].callers, Some(&unused), &job).await;
+
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    assert_eq!(in_progress.status, 200, "{}", String::from_utf8_lossy(&in_progress.body));
+    for (answer, original) in again {
+        assert_eq!(answer, *original, "{}", String::from_utf8_lossy(&answer.body));
+    }
+    // A ticket that was never used is good at the heir.
+    assert_eq!(late.status, 200, "{}", String::from_utf8_lossy(&late.body));
+    assert_eq!(cluster.starts().await.len(), 3 + 3 + 2 + 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_hosts_stop_one_by_one_under_load() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let key = format!("{}/1", caller.ticket(&cluster.hosts[0].callers).await);
+    let job = cluster.job(2, 10);
+    let first = caller.submit(&cluster.hosts[0].callers, Some(&key), &job).await;
+    let load = Load::start(&cluster, "pirita-souvenirs", 10, 20);
+
+    for index in 0..cluster.hosts.len() {
+        cluster.hosts[index].process.terminate();
+        let status = cluster.hosts[index].process.ended(PATIENCE).await;
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        cluster.hosts[index].restart();
+        cluster.wait_ready().await;
+    }
+    let oracle = load.end().await;
+    let again = caller.submit(&cluster.hosts[3].callers, Some(&key), &job).await;
+
+    // The answer has gone from hand to hand.
+    assert_eq!(again, first, "{}", String::from_utf8_lossy(&again.body));
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+    // Callers that reach a stopped host get no connection or a refusal; no job is cut.
+    let cut = oracle.statuses().get(&502).copied().unwrap_or_default();
+    assert_eq!(cut, 0, "{:?}", oracle.statuses());
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/upstreams.rs
@@ -0,0 +1,125 @@
+//! Upstreams that leave, fail, hang, or die in mid-request.
+
+use heathertrack_testkit::fixture::{Cluster, Plan, eventually};
+use heathertrack_testkit::oracle::Oracle;
+use heathertrack_testkit::upstream::{Mode, Setting};
+use std::time::Duration;
+
+/// Time from the first sign by which a leaving upstream must get nothing new.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+
+fn one_data_centre() -> Plan {
+    Plan::default().data_centres(&["ee-north-1"]).upstreams(&[1.0, 1.0, 1.0])
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_ends_its_work_and_gets_no_more() {
+    let mut cluster = Cluster::start(one_data_centre()).await;
+    let caller = cluster.caller("pirita-souvenirs");
+    let host = cluster.hosts[0].callers;
+    let job = cluster.job(60, 400);
+    let under_way = {
+        let (caller, job) = (caller.clone(), job.clone());
+        tokio::spawn(async move { caller.submit(&host, None, &job).await })
+    };
+    eventually("the upstream has work", || async { !cluster.workers[0].starts().await.is_empty() })
+        .await;
+
+    cluster.workers[0].state = "leaving".to_owned();
+    cluster.publish().await;
+    tokio::time::sleep(LEAVING_BOUND).await;
+    let before = cluster.workers[0].starts().await.len();
+    let later = caller.submit(&host, None, &job).await;
+    let after = cluster.workers[0].starts().await;
+    let under_way = under_way.await.expect("the caller does not panic");
+
+    assert_eq!(under_way.status, 200, "{}", String::from_utf8_lossy(&under_way.body));
+    assert_eq!(later.status, 200, "{}", String::from_utf8_lossy(&later.body));
+    assert_eq!(after.len(), before);
+    assert!(after.iter().all(|start| start.ended_us.is_some()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_on_an_upstream_that_dies_fails_whole_and_is_not_run_again() {
+    let cluster = Cluster::start(one_data_centre()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    for worker in &cluster.workers {
+        worker.set(Setting::default().mode(Mode::Die)).await;
+    }
+    let mut oracle = Oracle::default();
+
+    for host in &cluster.hosts {
+        let key = format!("{}/1", caller.ticket(&host.callers).await);
+        let job = cluster.job(3, 5);
+        for _ in 0..2 {
+            let answer = caller.submit(&host.callers, Some(&key), &job).await;
+            assert_eq!(answer.run(), "may_have_run", "{}", String::from_utf8_lossy(&answer.body));
+            oracle.note(&key, 3, answer);
+        }
+    }
+
+    assert_eq!(oracle.faults(&cluster.starts().await), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_on_an_upstream_that_hangs_is_failed_at_its_deadline() {
+    let cluster = Cluster::start(one_data_centre()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    for worker in &cluster.workers {
+        worker.set(Setting::default().mode(Mode::Hang)).await;
+    }
+    let job = r#"{"deadline_ms": 1000, "tasks": [{"path": "/a"}, {"path": "/b"}]}"#;
+
+    let answer = caller.submit(&cluster.hosts[0].callers, None, job).await;
+
+    assert_eq!((answer.status, answer.run().as_str()), (504, "may_have_run"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_upstream_is_passed_over() {
+    let mut cluster = Cluster::start(one_data_centre()).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    cluster.workers[0].process.kill();
+    let mut oracle = Oracle::default();
+
+    for number in 0..30 {
+        let host = cluster.hosts[number % 2].callers;
+        let key = format!("{}/1", caller.ticket(&host).await);
+        let answer = caller.submit(&host, Some(&key), &cluster.job(4, 5)).await;
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+        oracle.note(&key, 4, answer);
+    }
+
+    assert_eq!(oracle.faults(&cluster.starts().await), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelled_tasks_that_wait_never_start() {
+    let cluster = Cluster::start(one_data_centre()).await;
+    let caller = cluster.caller("pirita-souvenirs");
+    let host = cluster.hosts[0].callers;
+    let long = cluster.job(48, 600);
+    let filler = {
+        let (caller, long) = (caller.clone(), long.clone());
+        tokio::spawn(async move { caller.submit(&host, None, &long).await })
+    };
+    eventually("the upstreams are full", || async { cluster.starts().await.len() >= 24 }).await;
+    let key = format!("{}/1", caller.ticket(&host).await);
+    let waiting = {
+        let (caller, key, job) = (caller.clone(), key.clone(), cluster.job(5, 5_000));
+        tokio::spawn(async move { caller.submit(&host, Some(&key), &job).await })
+    };
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    let cancelled = caller.cancel(&cluster.hosts[1].callers, &key).await;
+    let waiting = waiting.await.expect("the caller does not panic");
+    let again = caller.submit(&host, Some(&key), &cluster.job(5, 5_000)).await;
+    let filler = filler.await.expect("the caller does not panic");
+
+    assert_eq!(cancelled.status, 409, "{}", String::from_utf8_lossy(&cancelled.body));
+    assert_eq!((&waiting, &again), (&cancelled, &cancelled));
+    assert_eq!(filler.status, 200);
+    let mut oracle = Oracle::default();
+    oracle.note(&key, 5, cancelled);
+    assert_eq!(oracle.faults(&cluster.starts().await), Vec::<String>::new());
+}
--- a/crates/heathertrack_wire/src/status.rs
+++ b/crates/heathertrack_wire/src/status.rs
@@ -64,7 +64,7 @@
     pub name: String,
     /// Its address.
     pub address: String,
-    /// `good`, `ejected`, `on trial` or `leaving`.
+    /// `good`, `ejected`, `on trial`, `unreachable` or `leaving`.
     pub state: String,
     /// How many times slower than ordinary.
     pub slowness: f64,
--- a/crates/heathertrackd/src/callers/handle.rs
+++ b/crates/heathertrackd/src/callers/handle.rs
@@ -20,8 +20,8 @@
 const TICKETS: &str = "/v1/tickets";
 /// Longest wait for the answer of a job that is asked for by its key.
 const LOOK_WAIT: Duration = Duration::from_secs(60);
-/// Longest wait for the answer of a job that is submitted.
-const SUBMIT_WAIT: Duration = Duration::from_secs(3_600);
+/// How much longer than its deadline a job's home may take to say so.
+const ANSWER_SPARE: Duration = Duration::from_millis(500);
 
 /// Answers one request.
 pub async fn answer(state: &Arc<State>, request: Request<Incoming>) -> Reply {
@@ -92,8 +92,9 @@
     let outcome = match key {
         None => home::submit_unkeyed(state, &customer, &body).await,
         Some(key) => {
+            let left = home::deadline(&body)? + ANSWER_SPARE;
             let action = Action::Submit(body);
-            let errand = Errand { customer: &customer, key: &key, action, left: SUBMIT_WAIT };
+            let errand = Errand { customer: &customer, key: &key, action, left };
             route::run(state, &errand).await
         }
     };
--- a/crates/heathertrackd/src/dispatch.rs
+++ b/crates/heathertrackd/src/dispatch.rs
@@ -67,6 +67,11 @@
         self.core().expect(class, declared)
     }
 
+    /// Whether a task's time is declared or learned, not guessed.
+    pub fn knows(&self, class: &Class, declared: Duration) -> bool {
+        self.core().knows(class, declared)
+    }
+
     /// Takes a new list of upstreams.
     pub fn update(&self, listed: &[Spec], owned: impl Fn(&Upstream) -> bool, now: Time) {
         self.core().update(listed, owned, now);
@@ -89,8 +94,8 @@
     }
 
     /// Takes a task out that still waits. Returns whether it did; its end is then told.
-    pub fn cancel(&self, key: WaitKey) -> bool {
-        let cancelled = self.core().cancel(key);
+    pub fn cancel(&self, key: WaitKey, now: Time) -> bool {
+        let cancelled = self.core().cancel(key, now);
         let waited = cancelled.is_some();
         if let Some(pending) = cancelled {
             let _ = pending.done.send(TaskEnd::Unstarted("cancelled".to_owned()));
--- a/crates/heathertrackd/src/home.rs
+++ b/crates/heathertrackd/src/home.rs
@@ -5,7 +5,7 @@
 mod parting;
 mod start;
 
-pub use errand::{cancel, look, probe, submit, submit_unkeyed};
+pub use errand::{cancel, deadline, look, probe, submit, submit_unkeyed};
 pub use outcome::refused_problem;
 pub use parting::{adopt, part};
 
--- a/crates/heathertrackd/src/home/errand.rs
+++ b/crates/heathertrackd/src/home/errand.rs
@@ -18,13 +18,18 @@
     RecordKey::new(customer.as_str(), key.to_string())
 }
 
-fn read(body: &str) -> Result<Job, Arc<Outcome>> {
+fn read(body: &str) -> Result<Job, Problem> {
     Job::read(body).map_err(|findings| {
         let bad = Problem::new(Kind::BadRequest, Run::NotRun, "the job has findings");
-        Arc::new(Outcome::Problem(bad.findings(&findings)))
+        bad.findings(&findings)
     })
 }
 
+/// Time within which a submitted job must be answered.
+pub fn deadline(body: &str) -> Result<Duration, Problem> {
+    read(body).map(|job| job.deadline)
+}
+
 /// Starts a job under its key, or joins it, or gives its stored answer.
 pub async fn submit(
     state: &Arc<State>,
@@ -34,7 +39,7 @@
 ) -> Arc<Outcome> {
     let job = match read(body) {
         Ok(job) => job,
-        Err(bad) => return bad,
+        Err(bad) => return Arc::new(Outcome::Problem(bad)),
     };
     let record_key = record_key(customer, key);
     let (sender, outcome) = watch::channel(None);
@@ -56,7 +61,7 @@
 pub async fn submit_unkeyed(state: &Arc<State>, customer: &Customer, body: &str) -> Arc<Outcome> {
     let job = match read(body) {
         Ok(job) => job,
-        Err(bad) => return bad,
+        Err(bad) => return Arc::new(Outcome::Problem(bad)),
     };
     if state.desk().stage() != heathertrack::home::Stage::Open {
         return refused(Refused::Closed);
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -96,11 +96,14 @@
     check_allowance(state, accepted)?;
     let job = &accepted.job;
     let now = state.now();
+    // A guess is no ground for a refusal.
+    let known = job.tasks.iter().all(|task| state.dispatcher.knows(class, task.declared));
+    let time = |span: Duration| if known { span } else { Duration::ZERO };
     let admitted = state.placement.admit(
         state.dispatcher.load(now),
         job.tasks.iter().map(|task| task.needs),
-        work(state, job, class),
-        longest(state, job, class),
+        time(work(state, job, class)),
+        time(longest(state, job, class)),
         accepted.deadline.since(now),
     );
     admitted.map_err(|refusal| {
--- a/crates/heathertrackd/src/placement.rs
+++ b/crates/heathertrackd/src/placement.rs
@@ -144,7 +144,7 @@
         ended = &mut end => ended,
         () = cancel.cancelled() => {
             // One that has started goes on; its permit is kept until it ends.
-            state.dispatcher.cancel(key);
+            state.dispatcher.cancel(key, state.now());
             end.await
         }
     };
@@ -196,7 +196,10 @@
 pub fn answer_offer(state: &Arc<State>, peer: &Host, load: &frame::Load) {
     state.placement.tell(peer, load);
     let free: u32 = load.free.iter().map(|(_, count)| u32::from(*count)).sum();
-    let waiting = state.dispatcher.core().give_away(free as usize, |pending| pending.work.hops > 0);
+    let waiting = state
+        .dispatcher
+        .core()
+        .give_away(free as usize, state.now(), |pending| pending.work.hops > 0);
     if waiting.is_empty() {
         metrics::wasted("offer");
     }
@@ -212,7 +215,7 @@
     if peers.is_empty() {
         return;
     }
-    let waiting = state.dispatcher.core().give_away(usize::MAX, |_| true);
+    let waiting = state.dispatcher.core().give_away(usize::MAX, state.now(), |_| true);
     for (index, pending) in waiting.into_iter().enumerate() {
         let peer = peers[index % peers.len()].clone();
         state.work.spawn(pass_on(state.clone(), peer, pending));
--- a/crates/heathertrackd/src/settings/limits.rs
+++ b/crates/heathertrackd/src/settings/limits.rs
@@ -45,7 +45,7 @@
         let connections = whole("connections", 1..=1_000_000, defaults.connections as u64);
         let ticket_valid = whole("ticket_valid_ms", 1_000..=3_600_000, ms(defaults.ticket_valid));
         let accepted = whole("minted_key_age_ms", 1_000..=86_400_000, ms(defaults.minted.accepted));
-        let skew = whole("clock_skew_ms", 0..=600_000, ms(defaults.minted.skew));
+        let skew = whole("clock_skew_ms", 10..=600_000, ms(defaults.minted.skew));
         let records = whole("records", 1..=10_000_000, defaults.records as u64);
         let answer_bytes = whole("answer_bytes", 0..=1 << 40, defaults.answer_bytes as u64);
         let drain_notice = whole("drain_notice_ms", 0..=600_000, ms(defaults.drain_notice));
--- a/crates/heathertrackd/src/status.rs
+++ b/crates/heathertrackd/src/status.rs
@@ -64,6 +64,7 @@
                 Standing::Good => "good",
                 Standing::Ejected(_) => "ejected",
                 Standing::OnTrial => "on trial",
+                Standing::Unreachable(_) => "unreachable",
             }
             .to_owned(),
             slowness: upstream.slowness(now),
