Measure the policy beside baselines; leave fast slots to the tasks that jobs wait for

Tasks that end long before the longest one of their job took fast slots for which other jobs waited. Change: the measuring program; a task goes to the slowest free slot on which it still ends within 0.6 of its job's longest task.

--- a/crates/heathertrack/src/dispatch/dispatcher/pick.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher/pick.rs
@@ -11,6 +11,9 @@
 /// A slot that isn't free yet must finish a task earlier than the best free one by this part.
 const GAIN_TO_WAIT: f64 = 0.8;
 
+/// A task that ends within this part of its job's longest one leaves room for wrong estimates.
+const WELL_BEFORE: f64 = 0.6;
+
 /// Slots that come free later and are kept for tasks ahead in the queue.
 type Kept = HashMap<UpstreamKey, usize>;
 
@@ -51,9 +54,13 @@
             return None;
         }
         let slots = self.slots(now);
+        let fastest = slots.iter().map(|slots| slots.slowness).fold(f64::INFINITY, f64::min);
         let mut kept = Kept::new();
         for key in self.waiting.first(WINDOW) {
             let waiting = self.waiting.get(key)?;
+            if let Some(spare) = slowest_in_time(&slots, waiting, fastest) {
+                return Some((key, spare));
+            }
             let Some((free, finish)) = earliest_free(&slots, waiting) else {
                 continue;
             };
@@ -115,6 +122,18 @@
     ends: Vec<Duration>,
 }
 
+/// The slowest free slot on which a task still ends well before the longest one of its job, so
+/// that the fast slots are left to those that jobs wait for.
+fn slowest_in_time<T>(slots: &[Slots], waiting: &Waiting<T>, fastest: f64) -> Option<UpstreamKey> {
+    let longest = waiting.task.job_longest.mul_f64(fastest);
+    let in_time =
+        |slots: &&Slots| waiting.expected.mul_f64(slots.slowness) <= longest.mul_f64(WELL_BEFORE);
+    let fitting =
+        slots.iter().filter(|s| s.free && s.upstream.spec.size.holds(&waiting.task.needs));
+    let spare = fitting.filter(in_time).max_by(|a, b| a.slowness.total_cmp(&b.slowness))?;
+    Some(spare.key)
+}
+
 fn earliest_free<T>(slots: &[Slots], waiting: &Waiting<T>) -> Option<(UpstreamKey, Duration)> {
     let free = slots.iter().filter(|s| s.free && s.upstream.spec.size.holds(&waiting.task.needs));
     let fastest = free.min_by(|a, b| a.slowness.total_cmp(&b.slowness))?;
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/measure/figures.rs
@@ -0,0 +1,159 @@
+use crate::arguments::Arguments;
+use crate::latency::Latency;
+use crate::messages::Messages;
+use crate::workload::{FLOODER, WORTHS};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// How one job ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub customer: usize,
+    pub tasks: usize,
+    pub status: u16,
+    pub not_run: bool,
+    pub elapsed: Duration,
+    pub ideal: Duration,
+    /// Whether it was sent after the fault began.
+    pub after_fault: bool,
+}
+
+impl Ended {
+    fn ratio(&self) -> f64 {
+        self.elapsed.as_secs_f64() / self.ideal.as_secs_f64()
+    }
+}
+
+/// The figures of one run.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    pub variant: String,
+    pub load: f64,
+    pub fault: Option<String>,
+    pub response_ratio_p50: f64,
+    pub response_ratio_p99: f64,
+    pub response_ratio_mean: f64,
+    pub worth_weighted_ratio: f64,
+    /// The same over the jobs sent after the fault began; equal to the above without a fault.
+    pub after_fault_p50: f64,
+    pub after_fault_p99: f64,
+    /// p99 of the customers that do not flood.
+    pub others_p99: f64,
+    pub messages_per_task: f64,
+    pub wasted_messages_per_task: f64,
+    pub messages_by_kind: BTreeMap<String, f64>,
+    pub completed: usize,
+    pub completed_tasks: usize,
+    pub refused_not_run: usize,
+    pub refusal_ms_p50: f64,
+    pub failed: usize,
+    pub share_to_failing: f64,
+}
+
+/// One object with all figures.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    seed: u64,
+    setup: String,
+    runs: Vec<Figures>,
+    pub latency: Option<Latency>,
+}
+
+impl Report {
+    pub fn new(arguments: &Arguments, runs: Vec<Figures>, latency: Option<Latency>) -> Self {
+        Report { seed: arguments.seed, setup: arguments.setup.name().to_owned(), runs, latency }
+    }
+}
+
+impl Figures {
+    pub fn of(variant: &str, load: f64, ended: &[Ended], messages: &Messages) -> Self {
+        let complete: Vec<&Ended> = ended.iter().filter(|job| job.status == 200).collect();
+        let ratios = |keep: &dyn Fn(&Ended) -> bool| {
+            let kept = complete.iter().filter(|job| keep(job));
+            sorted(kept.map(|job| job.ratio()).collect())
+        };
+        let all = ratios(&|_| true);
+        let after = ratios(&|job| job.after_fault);
+        let others = ratios(&|job| job.after_fault && job.customer != FLOODER);
+        let refused: Vec<&Ended> = ended.iter().filter(|job| job.not_run).collect();
+        let refusals =
+            sorted(refused.iter().map(|job| job.elapsed.as_secs_f64() * 1_000.0).collect());
+        let completed_tasks: usize = complete.iter().map(|job| job.tasks).sum();
+        let tasks = completed_tasks.max(1) as f64;
+        let by_kind = messages.sent.iter().map(|(kind, count)| (kind.clone(), count / tasks));
+        let failed = ended.len() - complete.len() - refused.len();
+        Figures {
+            variant: variant.to_owned(),
+            load,
+            fault: None,
+            response_ratio_p50: percentile(&all, 0.5),
+            response_ratio_p99: percentile(&all, 0.99),
+            response_ratio_mean: all.iter().sum::<f64>() / all.len().max(1) as f64,
+            worth_weighted_ratio: worth_weighted(&complete),
+            after_fault_p50: percentile(&after, 0.5),
+            after_fault_p99: percentile(&after, 0.99),
+            others_p99: percentile(&others, 0.99),
+            messages_per_task: messages.total() / tasks,
+            wasted_messages_per_task: messages.wasted / tasks,
+            messages_by_kind: by_kind.collect(),
+            completed: complete.len(),
+            completed_tasks,
+            refused_not_run: refused.len(),
+            refusal_ms_p50: percentile(&refusals, 0.5),
+            failed,
+            share_to_failing: 0.0,
+        }
+    }
+}
+
+fn worth_weighted(complete: &[&Ended]) -> f64 {
+    let worth: f64 = complete.iter().map(|job| WORTHS[job.customer]).sum();
+    let sum: f64 = complete.iter().map(|job| WORTHS[job.customer] * job.ratio()).sum();
+    sum / worth.max(1e-9)
+}
+
+pub fn sorted(mut values: Vec<f64>) -> Vec<f64> {
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+pub fn percentile(sorted: &[f64], part: f64) -> f64 {
+    let at = (sorted.len() as f64 * part) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or_default()
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:<12} load {:.2} {:<10} p50 {:.2} p99 {:.2} mean {:.2} worth-weighted {:.2}; ",
+            self.variant,
+            self.load,
+            self.fault.as_deref().unwrap_or(""),
+            self.response_ratio_p50,
+            self.response_ratio_p99,
+            self.response_ratio_mean,
+            self.worth_weighted_ratio,
+        )?;
+        write!(
+            f,
+            "after fault p50 {:.2} p99 {:.2} others' p99 {:.2}; ",
+            self.after_fault_p50, self.after_fault_p99, self.others_p99,
+        )?;
+        write!(
+            f,
+            "messages {:.2} wasted {:.3} per task; {} completed ({} tasks), {} refused \
+             (p50 {:.1} ms), {} failed; {:.3} of tasks to failing upstreams",
+            self.messages_per_task,
+            self.wasted_messages_per_task,
+            self.completed,
+            self.completed_tasks,
+            self.refused_not_run,
+            self.refusal_ms_p50,
+            self.failed,
+            self.share_to_failing,
+        )
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/measure/latency.rs
@@ -0,0 +1,89 @@
+use crate::figures::{percentile, sorted};
+use heathertrack_testkit::client::Client;
+use heathertrack_testkit::fixture::{Cluster, Plan};
+use serde::Serialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Requests timed one after the other.
+const REQUESTS: usize = 1_500;
+/// Callers at once, and how long they send, when the starts per second are counted.
+const CALLERS: usize = 48;
+const SPAN: Duration = Duration::from_secs(3);
+/// Tasks in each job of theirs.
+const TASKS: usize = 40;
+
+/// What one host adds to a request and how many starts it manages, as a process of its own.
+#[derive(Debug, Serialize)]
+pub struct Latency {
+    pub direct_us_p50: f64,
+    pub through_us_p50: f64,
+    pub added_us_p50: f64,
+    /// Starts per second through one host with four threads.
+    pub starts_per_second: f64,
+}
+
+pub async fn measure() -> Latency {
+    let plan = Plan::default()
+        .data_centres(&["dc-1"])
+        .hosts(1)
+        .upstreams(&[1.0; 8])
+        .limit("threads", 4)
+        .allowance("wholesale", 100_000, 900_000.0);
+    let cluster = Cluster::start(plan).await;
+    let caller = cluster.caller("pirita-souvenirs");
+    let host = cluster.hosts[0].callers;
+    let job = cluster.job(1, 0);
+    let direct = time(&caller, &cluster.workers[0].address, "/run", "{\"us\":0}").await;
+    let through = time(&caller, &host, "/v1/jobs", &job).await;
+    let starts_per_second = starts_per_second(&cluster, host).await;
+    Latency {
+        direct_us_p50: direct,
+        through_us_p50: through,
+        added_us_p50: through - direct,
+        starts_per_second,
+    }
+}
+
+/// Median time of a request, in microseconds.
+async fn time(client: &Client, address: &SocketAddr, path: &str, body: &str) -> f64 {
+    let mut times = Vec::with_capacity(REQUESTS);
+    for _ in 0..REQUESTS {
+        let began = Instant::now();
+        client.call(hyper::Method::POST, address, path, None, body).await;
+        times.push(began.elapsed().as_secs_f64() * 1e6);
+    }
+    percentile(&sorted(times), 0.5)
+}
+
+async fn starts_per_second(cluster: &Cluster, host: SocketAddr) -> f64 {
+    let job = cluster.job(TASKS, 0);
+    let mut callers = JoinSet::new();
+    let began = Instant::now();
+    for _ in 0..CALLERS {
+        let (caller, job) = (cluster.caller("pirita-souvenirs"), job.clone());
+        callers.spawn(async move {
+            let mut done = 0;
+            while began.elapsed() < SPAN {
+                let answer = caller.submit(&host, None, &job).await;
+                done += usize::from(answer.status == 200);
+            }
+            done
+        });
+    }
+    let done: usize = callers.join_all().await.into_iter().sum();
+    (done * TASKS) as f64 / began.elapsed().as_secs_f64()
+}
+
+impl fmt::Display for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "one request: direct p50 {:.0} us, through a host {:.0} us, added {:.0} us; \
+             {:.0} starts/s through one host of four threads",
+            self.direct_us_p50, self.through_us_p50, self.added_us_p50, self.starts_per_second,
+        )
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/measure/messages.rs
@@ -0,0 +1,43 @@
+use heathertrack_testkit::client::Client;
+use hyper::Method;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Messages by kind, summed over all entry hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Messages {
+    pub sent: BTreeMap<String, f64>,
+    pub wasted: f64,
+}
+
+impl Messages {
+    /// Reads the counters; all hosts of this process share them.
+    pub async fn read(operators: &SocketAddr) -> Self {
+        let client = Client::new("");
+        let answer = client.call(Method::GET, operators, "/metrics", None, "").await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let mut messages = Messages::default();
+        for line in text.lines() {
+            let Some((name, value)) = line.rsplit_once(' ') else { continue };
+            let value: f64 = value.parse().unwrap_or_default();
+            if name.starts_with("heathertrack_messages_total") {
+                let kind = name.split('"').nth(1).unwrap_or_default();
+                messages.sent.insert(kind.to_owned(), value);
+            } else if name.starts_with("heathertrack_wasted_messages_total") {
+                messages.wasted += value;
+            }
+        }
+        messages
+    }
+
+    /// What has come since an earlier reading.
+    pub fn since(&self, earlier: &Messages) -> Messages {
+        let before = |kind: &String| earlier.sent.get(kind).copied().unwrap_or_default();
+        let sent = self.sent.iter().map(|(kind, count)| (kind.clone(), count - before(kind)));
+        Messages { sent: sent.collect(), wasted: self.wasted - earlier.wasted }
+    }
+
+    pub fn total(&self) -> f64 {
+        self.sent.values().sum()
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/measure/workload.rs
@@ -0,0 +1,122 @@
+use crate::fault::Fault;
+use crate::setup;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::time::Duration;
+
+/// Median run time at ordinary speed.
+const MEDIAN: f64 = 0.100;
+/// Spread of the logarithm of run times; a few tasks last several seconds.
+const SPREAD: f64 = 0.8;
+const SHORTEST: f64 = 0.010;
+const LONGEST: f64 = 3.0;
+/// Spread of the logarithm of a declared time against the true one.
+const DECLARED_SPREAD: f64 = 0.5;
+/// Part of the jobs with one task, and with 340.
+const SINGLE: f64 = 0.6;
+const HUGE: f64 = 0.003;
+const HUGE_TASKS: usize = 340;
+const MOST_TASKS: usize = 40;
+/// Tasks of a mean job: 0.6 with 1, 0.003 with 340, the rest with 2 to 40.
+const MEAN_TASKS: f64 = SINGLE + HUGE * 340.0 + (1.0 - SINGLE - HUGE) * 21.0;
+/// Deadline of every job, as a counter would have it.
+const DEADLINE_MS: u64 = 20_000;
+/// Customers, each with a plan of its own size of purse.
+pub const CUSTOMERS: usize = 6;
+/// Worth of a customer's requests: every third customer's are worth five times as much.
+pub const WORTHS: [f64; CUSTOMERS] = [1.0, 1.0, 5.0, 1.0, 1.0, 5.0];
+/// The customer that floods, if one does.
+pub const FLOODER: usize = 0;
+
+/// A job to send.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub customer: usize,
+    pub host: usize,
+    pub tasks: usize,
+    pub body: String,
+    /// Longest task on the fastest upstream.
+    pub longest: Duration,
+}
+
+/// Draws jobs, the same for every policy.
+#[derive(Debug)]
+pub struct Workload {
+    random: StdRng,
+    /// Jobs per second.
+    rate: f64,
+    fault: Option<Fault>,
+}
+
+impl Workload {
+    /// Jobs that ask for this part of the capacity.
+    pub fn new(seed: u64, load: f64, fault: Option<Fault>) -> Self {
+        let mean = MEDIAN * (SPREAD * SPREAD / 2.0_f64).exp();
+        let rate = load * setup::capacity() / (mean * MEAN_TASKS);
+        Workload { random: StdRng::seed_from_u64(seed), rate, fault }
+    }
+
+    /// Time until the next job, `factor` times as many coming as usual.
+    pub fn pause(&mut self, factor: f64) -> Duration {
+        let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
+        Duration::from_secs_f64(-uniform.ln() / (self.rate * factor))
+    }
+
+    /// The next job. `faulty`: the fault has begun.
+    pub fn job(&mut self, faulty: bool, hosts: usize) -> Job {
+        let fault = self.fault.filter(|_| faulty);
+        let tasks = self.tasks();
+        let mut customer = self.random.random_range(0..CUSTOMERS);
+        if fault == Some(Fault::Flood) && self.random.random_bool(0.5) {
+            customer = FLOODER;
+        }
+        let impossible = fault == Some(Fault::Impossible) && self.random.random_bool(0.05);
+        let cores = if impossible { 1_000 } else { 1 };
+        let class = ["quote", "cut-plan", "stock"][self.random.random_range(0..3)];
+        let mut longest: f64 = 0.0;
+        let mut list = Vec::with_capacity(tasks);
+        for _ in 0..tasks {
+            let time = self.run_time();
+            longest = longest.max(time);
+            let mut declared = time * (DECLARED_SPREAD * self.normal()).exp();
+            if fault == Some(Fault::Declared) {
+                declared /= 10.0;
+            }
+            let declared_ms = ((declared * 1_000.0) as u64).max(1);
+            let us = (time * 1e6) as u64;
+            list.push(json!({"path": "/run", "body": {"us": us}, "declared_ms": declared_ms,
+                             "cores": cores}));
+        }
+        let body = json!({"class": class, "deadline_ms": DEADLINE_MS, "tasks": list});
+        Job {
+            customer,
+            host: self.random.random_range(0..hosts),
+            tasks,
+            body: body.to_string(),
+            longest: Duration::from_secs_f64(longest),
+        }
+    }
+
+    fn tasks(&mut self) -> usize {
+        let draw: f64 = self.random.random();
+        if draw < SINGLE {
+            1
+        } else if draw < SINGLE + HUGE {
+            HUGE_TASKS
+        } else {
+            self.random.random_range(2..=MOST_TASKS)
+        }
+    }
+
+    fn run_time(&mut self) -> f64 {
+        (MEDIAN * (SPREAD * self.normal()).exp()).clamp(SHORTEST, LONGEST)
+    }
+
+    /// A draw from the normal distribution, by Box and Muller.
+    fn normal(&mut self) -> f64 {
+        let radius: f64 = self.random.random_range(f64::EPSILON..1.0);
+        let angle: f64 = self.random.random_range(0.0..std::f64::consts::TAU);
+        (-2.0 * radius.ln()).sqrt() * angle.cos()
+    }
+}
--- a/crates/heathertrack_testkit/src/upstream.rs
+++ b/crates/heathertrack_testkit/src/upstream.rs
@@ -106,7 +106,11 @@
         let _slot = self.slots.acquire().await;
         let work: Work = serde_json::from_slice(&request.body).unwrap_or_default();
         let span = Duration::from_micros(work.us).mul_f64(setting.slowness);
-        tokio::time::sleep(span + Duration::from_micros(setting.latency_us)).await;
+        let whole = span + Duration::from_micros(setting.latency_us);
+        // Even an empty sleep takes a millisecond.
+        if !whole.is_zero() {
+            tokio::time::sleep(whole).await;
+        }
         let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         json(&serde_json::json!({"task": request.task_key, "path": request.path, "body": body}))
     }
