Add the operators' program, checked examples and noise tests for every parser

Cause: operators could only write into the store by hand, and nothing showed that the parsers stand noise. Ruled out: merging two operators' edits, which needs the text of the base revision; a conflict is shown and nothing is written. A history of edits is not kept. Change: heathertrack check, lists show/diff/apply, status, submit, cancel, watch; each edit carries a name by which it is found again when the store's answer was lost; rank counts a job's work too.

--- a/crates/heathertrack/src/dispatch/dispatcher.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher.rs
@@ -140,7 +140,7 @@
         }
         let rate = self.rate(now);
         let turn = self.fairness.turn(&task.customer, expected, rate, now);
-        Rank::of(task, expected, turn, &self.options)
+        Rank::of(task, expected, turn, rate, &self.options)
     }
 
     /// Takes a waiting task out, if it still waits.
--- a/crates/heathertrack/tests/fuzz/queue.rs
+++ b/crates/heathertrack/tests/fuzz/queue.rs
@@ -7,6 +7,9 @@
 use quickcheck::{Arbitrary, Gen, TestResult};
 use std::time::Duration;
 
+/// So many slots that a job's work adds nothing to its time.
+const RATE: f64 = 1e9;
+
 const EFFORT: Effort = Effort { length: 200, cases: 500 };
 
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +60,7 @@
 
 fn rank(arrived_ms: u16, ideal_ms: u16) -> Rank {
     let task = task(arrived_ms, ideal_ms);
-    Rank::of(&task, task.declared, Time::ZERO, &Options::default())
+    Rank::of(&task, task.declared, Time::ZERO, RATE, &Options::default())
 }
 
 /// The first in order; equal ranks by arrival.
@@ -124,7 +127,7 @@
     let soon = task((patience * 900.0) as u16, 1);
     let late = task((patience * 1_100.0) as u16, 1);
 
-    let rank = |task: &Task| Rank::of(task, task.declared, Time::ZERO, &options);
+    let rank = |task: &Task| Rank::of(task, task.declared, Time::ZERO, RATE, &options);
 
     assert!(rank(&soon) < rank(&long));
     assert!(rank(&long) < rank(&late));
@@ -136,7 +139,7 @@
     let worthy = Task { worth: 5.0, ..ordinary.clone() };
 
     let rank = |task: &Task, objective| {
-        Rank::of(task, task.declared, Time::ZERO, &Options::default().objective(objective))
+        Rank::of(task, task.declared, Time::ZERO, RATE, &Options::default().objective(objective))
     };
 
     assert!(rank(&worthy, Objective::Worth) < rank(&ordinary, Objective::Worth));
--- /dev/null
+++ b/crates/heathertrack_cli/src/check.rs
@@ -0,0 +1,84 @@
+//! Checks settings and lists.
+
+use crate::command::{Check, CheckWhat};
+use crate::exit::Exit;
+use crate::lists::Document;
+use heathertrack::lists::{Allowances, Plans};
+use heathertrack_document::Findings;
+use heathertrackd::Settings;
+use miette::{IntoDiagnostic, Report, WrapErr};
+use serde_json::{Value, json};
+use std::path::Path;
+
+/// Runs the command.
+pub fn run(command: &Check, json: bool) -> Result<Exit, Report> {
+    match &command.what {
+        CheckWhat::Settings(check) => {
+            let mut all = Vec::new();
+            for file in &check.files {
+                let (name, text) = read(file)?;
+                all.extend(Settings::read(&name, &text).err());
+            }
+            Ok(report(&all, check.files.len(), json))
+        }
+        CheckWhat::Lists(check) => {
+            let mut all = Vec::new();
+            let mut documents = Vec::new();
+            for file in &check.files {
+                let (name, text) = read(file)?;
+                match Document::read(&name, &text) {
+                    Ok(document) => documents.push(document),
+                    Err(findings) => all.push(findings),
+                }
+            }
+            all.extend(check_together(&documents));
+            Ok(report(&all, check.files.len(), json))
+        }
+    }
+}
+
+/// Reads a file; gives its name and text.
+pub fn read(path: &Path) -> Result<(String, String), Report> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).into_diagnostic();
+    Ok((name.clone(), text.wrap_err_with(|| format!("cannot read {name}"))?))
+}
+
+/// Plans that customers are on but that have no allowance.
+fn check_together(documents: &[Document]) -> Option<Findings> {
+    let plans: &Plans = documents.iter().find_map(|document| document.plans.as_ref())?;
+    let allowances: &Allowances = documents.iter().find_map(|d| d.allowances.as_ref())?;
+    let mut findings = Findings::new("both lists", "");
+    for (name, customer) in &plans.customers {
+        if !allowances.plans.contains_key(&customer.plan) {
+            let path = format!("customers.{name}.plan");
+            findings.add(0, &path, format!("names {}, which has no allowance", customer.plan));
+        }
+    }
+    (!findings.is_empty()).then_some(findings)
+}
+
+fn report(all: &[Findings], files: usize, json: bool) -> Exit {
+    if json {
+        let entries: Vec<Value> = all.iter().flat_map(entries).collect();
+        println!("{}", json!({ "files": files, "findings": entries }));
+    } else {
+        for findings in all {
+            eprintln!("{:?}", Report::new(findings.clone()));
+        }
+        if all.is_empty() {
+            println!("{files} checked, nothing found");
+        }
+    }
+    if all.is_empty() { Exit::Done } else { Exit::Findings }
+}
+
+fn entries(findings: &Findings) -> Vec<Value> {
+    let entry = |finding: &heathertrack_document::Finding| {
+        json!({
+            "file": findings.name(), "line": finding.line, "column": finding.column,
+            "path": finding.path, "message": finding.message,
+        })
+    };
+    findings.iter().map(entry).collect()
+}
--- /dev/null
+++ b/crates/heathertrack_cli/src/command.rs
@@ -0,0 +1,169 @@
+//! The command line.
+
+use argh::FromArgs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Checks settings and lists, edits the lists, shows the state of the entry hosts, and submits
+/// jobs.
+///
+/// Exit status: 0 done, 1 something failed, 2 a document has findings, 3 an edit is accepted but
+/// not in force on every host asked, 4 an edit met another one and was not written, 5 a job has no
+/// answer and did not run, 6 a job has no answer and may have run.
+#[derive(FromArgs, Debug)]
+pub struct Heathertrack {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Check(Check),
+    Lists(Lists),
+    Status(Status),
+    Submit(Submit),
+    Cancel(Cancel),
+    Watch(Watch),
+}
+
+/// Check settings or lists and print every finding with its place.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    #[argh(subcommand)]
+    pub what: CheckWhat,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum CheckWhat {
+    Settings(CheckSettings),
+    Lists(CheckLists),
+}
+
+/// Check the settings of entry hosts.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "settings")]
+pub struct CheckSettings {
+    /// files of settings
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Check lists; given both, also that every plan named has an allowance.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "lists")]
+pub struct CheckLists {
+    /// files of lists
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Show and edit the two lists in the platform's store.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "lists")]
+pub struct Lists {
+    /// address of the platform's store; may be given more than once
+    #[argh(option)]
+    pub store: Vec<SocketAddr>,
+    /// prefix of all keys in the store
+    #[argh(option, default = "\"/heathertrack\".to_owned()")]
+    pub prefix: String,
+    #[argh(subcommand)]
+    pub what: ListsWhat,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum ListsWhat {
+    Show(Show),
+    Diff(Diff),
+    Apply(Apply),
+}
+
+/// Print a list with its revision, ready to be edited and applied.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "show")]
+pub struct Show {
+    /// plans or allowances
+    #[argh(positional)]
+    pub list: String,
+}
+
+/// Print what a file would change.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "diff")]
+pub struct Diff {
+    /// file of a list
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Write a list, if nobody has changed it since the revision in the file, and wait until it is in
+/// force everywhere.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// file of a list
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// operators' address of an entry host to ask whether the edit is in force; may be given more
+    /// than once
+    #[argh(option)]
+    pub operators: Vec<SocketAddr>,
+    /// seconds to wait until it is in force
+    #[argh(option, default = "10")]
+    pub wait: u64,
+}
+
+/// Show the state of entry hosts: lists in force, peers, upstreams, customers' shares.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// operators' addresses of entry hosts
+    #[argh(positional)]
+    pub operators: Vec<SocketAddr>,
+}
+
+/// Submit a job and print its answer. The token is read from HEATHERTRACK_TOKEN.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "submit")]
+pub struct Submit {
+    /// callers' address of an entry host
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// idempotency key; a new UUIDv7 if none is given
+    #[argh(option)]
+    pub key: Option<String>,
+    /// file of the job
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Cancel a job. The token is read from HEATHERTRACK_TOKEN.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "cancel")]
+pub struct Cancel {
+    /// callers' address of an entry host
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// idempotency key of the job
+    #[argh(positional)]
+    pub key: String,
+}
+
+/// Wait for a job and print its answer. The token is read from HEATHERTRACK_TOKEN.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "watch")]
+pub struct Watch {
+    /// callers' address of an entry host
+    #[argh(option)]
+    pub host: SocketAddr,
+    /// idempotency key of the job
+    #[argh(positional)]
+    pub key: String,
+}
--- /dev/null
+++ b/crates/heathertrack_cli/src/jobs.rs
@@ -0,0 +1,89 @@
+//! Submits, cancels and watches jobs.
+
+use crate::check;
+use crate::command::{Cancel, Submit, Watch};
+use crate::exit::Exit;
+use bytes::Bytes;
+use heathertrack_platform::{Client, Fault};
+use heathertrack_wire::caller::Job;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use miette::{IntoDiagnostic, Report, miette};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use uuid::Uuid;
+
+const TOKEN_VARIABLE: &str = "HEATHERTRACK_TOKEN";
+/// Longest wait for an answer: the longest deadline that a plan can allow.
+const TIMEOUT: Duration = Duration::from_secs(3_600);
+
+/// Submits a job.
+pub async fn submit(command: &Submit, json: bool) -> Result<Exit, Report> {
+    let (name, text) = check::read(&command.file)?;
+    if let Err(findings) = Job::read(&text) {
+        eprintln!("{:?}", Report::new(findings).wrap_err(name));
+        return Ok(Exit::Findings);
+    }
+    let key = command.key.clone().unwrap_or_else(|| Uuid::now_v7().to_string());
+    if !json {
+        eprintln!("key {key}");
+    }
+    let request = request(Method::POST, &command.host, "/v1/jobs")?;
+    let request = request.header("idempotency-key", &key);
+    show(send(request, text).await, &command.host, &key)
+}
+
+/// Cancels a job.
+pub async fn cancel(command: &Cancel, _json: bool) -> Result<Exit, Report> {
+    let path = format!("/v1/jobs/{}", command.key);
+    let request = request(Method::DELETE, &command.host, &path)?;
+    show(send(request, String::new()).await, &command.host, &command.key)
+}
+
+/// Waits for a job.
+pub async fn watch(command: &Watch, _json: bool) -> Result<Exit, Report> {
+    let path = format!("/v1/jobs/{}", command.key);
+    let request = request(Method::GET, &command.host, &path)?;
+    show(send(request, String::new()).await, &command.host, &command.key)
+}
+
+fn request(
+    method: Method,
+    host: &SocketAddr,
+    path: &str,
+) -> Result<hyper::http::request::Builder, Report> {
+    let token = std::env::var(TOKEN_VARIABLE)
+        .map_err(|_| miette!("the token is missing: set {TOKEN_VARIABLE}"))?;
+    let builder = Request::builder().method(method).uri(format!("http://{host}{path}"));
+    Ok(builder.header("authorization", format!("Bearer {token}")))
+}
+
+async fn send(
+    request: hyper::http::request::Builder,
+    body: String,
+) -> Result<(StatusCode, Bytes), Fault> {
+    let request = request.body(Full::new(Bytes::from(body)));
+    let request = request.map_err(|error| Fault::Unreachable(error.to_string()))?;
+    Client::open(TIMEOUT).send(request).await
+}
+
+fn show(
+    answer: Result<(StatusCode, Bytes), Fault>,
+    host: &SocketAddr,
+    key: &str,
+) -> Result<Exit, Report> {
+    let (status, body) = match answer {
+        Ok(answer) => answer,
+        Err(Fault::Unreachable(reason)) => return Err(miette!("{host}: {reason}")),
+        Err(fault) => {
+            return Err(miette!("{host}: {fault}; the job may have run, its key is {key}"));
+        }
+    };
+    println!("{}", String::from_utf8_lossy(&body));
+    if status == StatusCode::OK {
+        return Ok(Exit::Done);
+    }
+    let problem: Value = serde_json::from_slice(&body).into_diagnostic()?;
+    Ok(if problem["run"] == "not_run" { Exit::NotRun } else { Exit::MayHaveRun })
+}
--- /dev/null
+++ b/crates/heathertrack_cli/src/lists.rs
@@ -0,0 +1,74 @@
+//! Shows and edits the two lists in the platform's store.
+
+mod apply;
+mod diff;
+mod document;
+
+pub use document::Document;
+
+use crate::check;
+use crate::command::{Lists, ListsWhat};
+use crate::exit::Exit;
+use heathertrack_platform::{Etcd, Store, Value as Stored};
+use miette::{IntoDiagnostic, Report, WrapErr, miette};
+use serde_json::{Value, json};
+
+/// Runs the command.
+pub async fn run(command: Lists, json: bool) -> Result<Exit, Report> {
+    if command.store.is_empty() {
+        return Err(miette!("the store's address is missing: --store ADDRESS"));
+    }
+    let store = Etcd::open(command.store.clone());
+    match &command.what {
+        ListsWhat::Show(show) => {
+            let stored = read(&store, &command.prefix, &show.list).await?;
+            println!("{}", pretty(&with_revision(stored.as_ref(), &show.list)));
+            Ok(Exit::Done)
+        }
+        ListsWhat::Diff(diff) => {
+            let (name, text) = check::read(&diff.file)?;
+            let document = match Document::read(&name, &text) {
+                Ok(document) => document,
+                Err(findings) => return Ok(refuse(findings)),
+            };
+            let stored = read(&store, &command.prefix, document.list()).await?;
+            let current = with_revision(stored.as_ref(), document.list());
+            diff::print(&diff::between(&current, &document.value), json);
+            Ok(Exit::Done)
+        }
+        ListsWhat::Apply(apply) => apply::run(&store, &command.prefix, apply, json).await,
+    }
+}
+
+/// Prints the findings of a list that is not applied.
+fn refuse(findings: heathertrack_document::Findings) -> Exit {
+    eprintln!("{:?}", Report::new(findings));
+    Exit::Findings
+}
+
+/// Key of a list in the store.
+fn key(prefix: &str, list: &str) -> String {
+    format!("{prefix}/lists/{list}")
+}
+
+/// Reads a list from the store.
+async fn read(store: &Etcd, prefix: &str, list: &str) -> Result<Option<Stored>, Report> {
+    if list != "plans" && list != "allowances" {
+        return Err(miette!("there is no list \"{list}\": it must be plans or allowances"));
+    }
+    let stored = store.get(&key(prefix, list)).await;
+    stored.into_diagnostic().wrap_err("the store does not answer")
+}
+
+/// A stored list as JSON, with the revision that an edit of it starts from.
+fn with_revision(stored: Option<&Stored>, list: &str) -> Value {
+    let entries = if list == "plans" { "customers" } else { "plans" };
+    let Some(stored) = stored else { return json!({ "revision": 0, entries: {} }) };
+    let mut value: Value = serde_json::from_slice(&stored.data).unwrap_or_default();
+    value["revision"] = json!(stored.revision);
+    value
+}
+
+fn pretty(value: &Value) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/heathertrack_cli/src/lists/diff.rs
@@ -0,0 +1,51 @@
+//! What differs between two lists, entry by entry.
+
+use serde_json::{Map, Value, json};
+
+/// One entry that differs.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Change {
+    name: String,
+    before: Option<Value>,
+    after: Option<Value>,
+}
+
+/// Entries that differ, by name.
+pub fn between(before: &Value, after: &Value) -> Vec<Change> {
+    let (before, after) = (entries(before), entries(after));
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let change = |name: &String| Change {
+        name: name.clone(),
+        before: before.get(name).cloned(),
+        after: after.get(name).cloned(),
+    };
+    names.into_iter().map(change).filter(|change| change.before != change.after).collect()
+}
+
+fn entries(list: &Value) -> Map<String, Value> {
+    let entries = list.get("customers").or_else(|| list.get("plans"));
+    entries.and_then(Value::as_object).cloned().unwrap_or_default()
+}
+
+/// Prints the changes.
+pub fn print(changes: &[Change], json: bool) {
+    if json {
+        println!("{}", as_json(changes));
+        return;
+    }
+    if changes.is_empty() {
+        println!("no difference");
+    }
+    for Change { name, before, after } in changes {
+        before.iter().for_each(|value| println!("- {name}: {value}"));
+        after.iter().for_each(|value| println!("+ {name}: {value}"));
+    }
+}
+
+/// The changes as JSON.
+pub fn as_json(changes: &[Change]) -> Value {
+    let entry = |change: &Change| json!({"name": change.name, "before": change.before, "after": change.after});
+    Value::Array(changes.iter().map(entry).collect())
+}
--- a/crates/heathertrack_platform/src/http.rs
+++ b/crates/heathertrack_platform/src/http.rs
@@ -46,6 +46,11 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| Fault::Unreachable(error.to_string()))?;
+        self.send(request).await
+    }
+
+    /// Sends a request; gives the status and the whole body.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), Fault> {
         match tokio::time::timeout(self.timeout, self.exchange(request)).await {
             Ok(answer) => answer,
             Err(_) => Err(Fault::AnswerLost(format!("no answer in {:?}", self.timeout))),
--- /dev/null
+++ b/crates/heathertrack_testkit/tests/operators.rs
@@ -0,0 +1,138 @@
+//! Operators who race each other, whose program is killed, or whose answer is lost.
+
+use heathertrack_testkit::fixture::{Cluster, Plan, Programs, eventually};
+use heathertrack_testkit::platform::Fault;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::process::{Output, Stdio};
+use std::time::Duration;
+use tokio::process::Command;
+use tokio::task::JoinSet;
+
+/// Runs `heathertrack lists` and gives what it printed.
+async fn lists(cluster: &Cluster, arguments: &[&str]) -> Output {
+    let store = cluster.platform.to_string();
+    let mut command = Command::new(Programs::build().cli());
+    command.args(["--json", "lists", "--store", &store]).args(arguments);
+    command.stdin(Stdio::null()).output().await.expect("the program can be run")
+}
+
+async fn show(cluster: &Cluster, list: &str) -> Value {
+    let output = lists(cluster, &["show", list]).await;
+    serde_json::from_slice(&output.stdout).expect("a list is JSON")
+}
+
+fn write(name: &str, cluster: &Cluster, value: &Value) -> PathBuf {
+    let file = std::env::temp_dir().join(format!("{name}-{}.json", cluster.platform.port()));
+    std::fs::write(&file, value.to_string()).expect("a file can be written");
+    file
+}
+
+/// Applies a list and waits until all hosts have it.
+async fn apply(cluster: &Cluster, file: &Path) -> Output {
+    let mut arguments = vec!["apply".to_owned(), file.display().to_string()];
+    for host in &cluster.hosts {
+        arguments.extend(["--operators".to_owned(), host.operators.to_string()]);
+    }
+    arguments.extend(["--wait".to_owned(), "60".to_owned()]);
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    lists(cluster, &arguments).await
+}
+
+fn with_worth(list: &Value, worth: f64) -> Value {
+    let mut list = list.clone();
+    list["customers"]["kadriorg-crafts"]["worth"] = json!(worth);
+    list
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_operators_who_race_one_wins_and_the_others_are_told() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let taken = show(&cluster, "plans").await;
+    let files: Vec<PathBuf> = (1..=5)
+        .map(|n| write(&format!("race-{n}"), &cluster, &with_worth(&taken, f64::from(n))))
+        .collect();
+
+    let mut racing = JoinSet::new();
+    let cluster = std::sync::Arc::new(cluster);
+    for file in files {
+        let cluster = cluster.clone();
+        racing.spawn(async move { apply(&cluster, &file).await.status.code() });
+    }
+    let mut codes = racing.join_all().await;
+    codes.sort_unstable();
+    let now = show(&cluster, "plans").await;
+
+    assert_eq!(codes, [Some(0), Some(4), Some(4), Some(4), Some(4)]);
+    assert!(now["revision"].as_u64() > taken["revision"].as_u64());
+    for host in &cluster.hosts {
+        let status = host.status().await.expect("the host answers");
+        assert_eq!(Some(status.plans.revision), now["revision"].as_u64());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_whose_answer_was_lost_is_found_by_its_name() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let edit = with_worth(&show(&cluster, "plans").await, 7.0);
+    let file = write("lost", &cluster, &edit);
+
+    cluster.platform_fault(Fault { lose_answers: true, ..Fault::default() }).await;
+    let applying = apply(&cluster, &file);
+    let mended = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.platform_fault(Fault::default()).await;
+    };
+    let (output, ()) = tokio::join!(applying, mended);
+    let now = show(&cluster, "plans").await;
+
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(now["customers"]["kadriorg-crafts"]["worth"], 7.0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_accepted_before_its_author_was_killed_comes_into_force() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let taken = show(&cluster, "plans").await;
+    let file = write("killed", &cluster, &with_worth(&taken, 9.0));
+
+    let store = cluster.platform.to_string();
+    let mut author = Command::new(Programs::build().cli())
+        .args(["lists", "--store", &store, "apply", &file.display().to_string()])
+        // Nobody answers there, so it waits after the store has accepted the edit.
+        .args(["--operators", "127.0.0.1:1", "--wait", "60"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program can be run");
+    eventually("the store has the edit", || async {
+        show(&cluster, "plans").await["customers"]["kadriorg-crafts"]["worth"] == 9.0
+    })
+    .await;
+    author.kill().await.expect("the program can be killed");
+    let revision = show(&cluster, "plans").await["revision"].as_u64();
+
+    for host in &cluster.hosts {
+        eventually("the edit is in force", || async {
+            host.status().await.map(|status| status.plans.revision) == revision
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_is_not_called_in_force_while_a_host_lacks_it() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let edit = with_worth(&show(&cluster, "plans").await, 3.0);
+    let file = write("lacking", &cluster, &edit).display().to_string();
+    let operators = cluster.hosts[1].operators.to_string();
+
+    cluster.hosts[1].process.freeze();
+    let waited = ["apply", &file, "--operators", &operators, "--wait", "1"];
+    let output = lists(&cluster, &waited).await;
+    cluster.hosts[1].process.thaw();
+
+    let summary: Value = serde_json::from_slice(&output.stdout).expect("it prints JSON");
+    assert_eq!(output.status.code(), Some(3));
+    assert_eq!(summary["missing"].as_array().map(Vec::len), Some(1));
+}
--- a/crates/heathertrack_wire/src/list/allowances.rs
+++ b/crates/heathertrack_wire/src/list/allowances.rs
@@ -1,4 +1,4 @@
-use super::{List, label};
+use super::{List, label, read_origin};
 use crate::caller::MAX_TASKS;
 use heathertrack::dispatch::Needs;
 use heathertrack::lists::{Allowance, Allowances};
@@ -43,6 +43,7 @@
 fn read_allowances(node: &Node, findings: &mut Findings) -> Option<Allowances> {
     let mut fields = node.fields(findings)?;
     let plans = fields.required("plans", findings);
+    read_origin(&mut fields, findings);
     fields.finish(findings);
     let mut allowances = Allowances::default();
     for (name, node) in plans?.fields(findings)?.entries() {
--- a/crates/heathertrack_wire/src/list/plans.rs
+++ b/crates/heathertrack_wire/src/list/plans.rs
@@ -1,4 +1,4 @@
-use super::{List, label};
+use super::{List, label, read_origin};
 use heathertrack::lists::{Customer, Plans, TokenDigest};
 use heathertrack::name::{Customer as Name, Plan};
 use heathertrack_document::{Findings, Node, read};
@@ -26,6 +26,7 @@
 fn read_plans(node: &Node, findings: &mut Findings) -> Option<Plans> {
     let mut fields = node.fields(findings)?;
     let customers = fields.required("customers", findings);
+    read_origin(&mut fields, findings);
     fields.finish(findings);
     let mut plans = Plans::default();
     for (name, node) in customers?.fields(findings)?.entries() {
--- /dev/null
+++ b/crates/heathertrack_wire/tests/noise.rs
@@ -0,0 +1,108 @@
+//! Every parser is fed noise and damaged documents: it refuses them, and does not panic.
+
+use heathertrack::lists::{Allowances, Plans};
+use heathertrack_wire::caller::{Job, Key};
+use heathertrack_wire::host_list::HostList;
+use heathertrack_wire::list::List;
+use heathertrack_wire::seats::Seats;
+use heathertrack_wire::store::{RangeResponse, TxnResponse};
+use quickcheck::{Gen, QuickCheck};
+
+const JOB: &str = r#"{"class": "stock", "deadline_ms": 2000, "tasks":
+    [{"path": "/a", "body": {"x": [1, 2]}, "declared_ms": 5, "cores": 1}]}"#;
+const PLANS: &str = r#"{"customers": {"a": {"plan": "p", "token_sha256":
+    ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"], "worth": 2}}}"#;
+const ALLOWANCES: &str = r#"{"plans": {"p": {"tasks_at_once": 1, "starts_per_second": 1,
+    "burst": 1, "tasks_per_job": 1, "task_cores": 1, "task_memory_mb": 1,
+    "task_accelerators": 0, "deadline_ms": 1}}}"#;
+const SEATS: &str = r#"{"members": [{"host": "e1", "incarnation": 1, "wants": true}],
+    "seats": {"0": 0}}"#;
+const HOSTS: &str = r#"{"revision": 1, "hosts": [{"name": "u1", "address": "127.0.0.1:1",
+    "data_centre": "d", "role": "upstream", "state": "live"}]}"#;
+const RANGE: &str = r#"{"header": {"revision": "3"}, "kvs": [{"key": "YQ==", "value": "YQ==",
+    "mod_revision": "3"}]}"#;
+const KEY: &str = "t1.ee-north-1.e1.00000000000000ff.0.3e8.8c4bf2ef529bad60/1";
+
+fn check(property: fn(Vec<u8>, usize, usize) -> bool) {
+    let gen_ = Gen::from_size_and_seed(300, 1);
+    QuickCheck::new().rng(gen_).tests(3_000).quickcheck(property);
+}
+
+/// A document with a piece of it replaced by noise.
+fn damage(document: &str, noise: &[u8], at: usize, length: usize) -> String {
+    let mut bytes = document.as_bytes().to_vec();
+    let start = at % (bytes.len() + 1);
+    let end = (start + length % 8).min(bytes.len());
+    bytes.splice(start..end, noise.iter().copied().take(12));
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Reads a text with every parser.
+fn read_with_all(text: &str) {
+    let _ = Job::read(text);
+    let _ = Plans::read("plans", text);
+    let _ = Allowances::read("allowances", text);
+    let _ = Seats::read(text.as_bytes());
+    let _ = serde_json::from_str::<HostList>(text);
+    let _ = serde_json::from_str::<RangeResponse>(text);
+    let _ = serde_json::from_str::<TxnResponse>(text);
+    let _ = text.parse::<Key>();
+}
+
+#[test]
+fn noise_is_refused() {
+    fn property(noise: Vec<u8>, _: usize, _: usize) -> bool {
+        read_with_all(&String::from_utf8_lossy(&noise));
+        true
+    }
+    check(property);
+}
+
+#[test]
+fn damaged_documents_are_refused_or_read() {
+    fn property(noise: Vec<u8>, at: usize, length: usize) -> bool {
+        for document in [JOB, PLANS, ALLOWANCES, SEATS, HOSTS, RANGE, KEY] {
+            read_with_all(&damage(document, &noise, at, length));
+        }
+        true
+    }
+    check(property);
+}
+
+#[test]
+fn the_documents_themselves_are_read() {
+    assert!(Job::read(JOB).is_ok());
+    assert!(Plans::read("plans", PLANS).is_ok());
+    assert!(Allowances::read("allowances", ALLOWANCES).is_ok());
+    assert!(Seats::read(SEATS.as_bytes()).is_ok());
+    assert!(serde_json::from_str::<HostList>(HOSTS).is_ok());
+    assert!(serde_json::from_str::<RangeResponse>(RANGE).is_ok());
+    assert!(KEY.parse::<Key>().is_ok());
+}
+
+#[test]
+fn lists_that_are_written_are_read_back_alike() {
+    let plans = Plans::read("plans", PLANS).expect("it is valid");
+    let allowances = Allowances::read("allowances", ALLOWANCES).expect("it is valid");
+
+    let plans_again = Plans::read("plans", &plans.write().to_string());
+    let allowances_again = Allowances::read("allowances", &allowances.write().to_string());
+
+    assert_eq!(plans_again.ok(), Some(plans));
+    assert_eq!(allowances_again.ok(), Some(allowances));
+}
+
+#[test]
+fn a_key_has_one_spelling() {
+    let others = [
+        KEY.replace("ff", "FF"),
+        KEY.replace("/1", "/01"),
+        KEY.replace("/1", "/+1"),
+        "01A23F2C-656D-71F4-8BA3-000000000000".to_owned(),
+        "{01a23f2c-656d-71f4-8ba3-000000000000}".to_owned(),
+    ];
+
+    for other in others {
+        assert!(other.parse::<Key>().is_err(), "{other}");
+    }
+}
