Read only what is newer from the platform; say when a job ran out of time

And a job whose task and deadline timed out together was told task-failed (502) or deadline-passed (504) by chance: red in 3 of 7 runs of a_job_on_an_upstream_that_hangs_is_failed_at_its_deadline. Ruled out: one range read of both lists above the higher revision: an edit of the other list that was missed would never be seen. Change: get_newer (min_mod_revision) for lists and seats, entity tags for the host list; a task that fails at or after the job's deadline is deadline-passed; the bytes of kept answers count each answer; library examples; HTTP/2, half-open clients, and allowances under cut and freeze on processes; docs.

--- /dev/null
+++ b/crates/heathertrack/examples/membership.rs
@@ -0,0 +1,44 @@
+//! Who is there, who holds which role, and who took over from whom.
+
+use heathertrack::clock::Time;
+use heathertrack::membership::{Entry, Heard, Successions, View, rendezvous};
+use heathertrack::name::{DataCentre, Host};
+use heathertrack::ticket::{Home, Incarnation};
+use std::time::Duration;
+
+fn home(host: &str, incarnation: u64) -> Home {
+    Home {
+        data_centre: DataCentre::new("ee-north-1"),
+        host: Host::new(host),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn entry(host: &str) -> Entry {
+    Entry {
+        host: Host::new(host),
+        data_centre: DataCentre::new("ee-north-1"),
+        address: "127.0.0.1:7101".to_owned(),
+        leaving: false,
+    }
+}
+
+fn main() {
+    let mut view = View::new(home("e1", 1), Duration::from_secs(1));
+    view.update([entry("e1"), entry("e2"), entry("e3")]);
+    let heard = Heard { incarnation: Incarnation(2), draining: false };
+    view.hear(&Host::new("e2"), heard, Time::ZERO);
+    let workers = view.workers(Time::ZERO);
+    println!("taking work: {workers:?}");
+    for upstream in ["u1", "u2", "u3", "u4"] {
+        let owner = rendezvous(&format!("upstream/{upstream}"), &workers);
+        println!("{upstream} is served by {owner:?}");
+    }
+
+    let mut successions = Successions::new(Duration::from_secs(600));
+    successions.note(home("e3", 3), home("e2", 2), Time::ZERO);
+    successions.note(home("e2", 2), home("e1", 1), Time::ZERO);
+    let current = successions.current(&home("e3", 3));
+    println!("the records of e3 are at {}", current.host);
+    assert_eq!(current, home("e1", 1));
+}
--- /dev/null
+++ b/crates/heathertrack/examples/queue.rs
@@ -0,0 +1,52 @@
+//! Tasks wait in order and go to the upstream where they should end first.
+
+use heathertrack::clock::Time;
+use heathertrack::dispatch::{Dispatcher, Finish, Needs, Options, Spec, Task};
+use heathertrack::name::{Class, Customer, Upstream};
+use std::time::Duration;
+
+fn upstream(name: &str) -> Spec {
+    Spec {
+        name: Upstream::new(name),
+        address: "127.0.0.1:9001".to_owned(),
+        slots: 1,
+        connections: 64,
+        size: Needs { cores: 16, memory_mb: 32_768, accelerators: 0 },
+        leaving: false,
+    }
+}
+
+fn task(declared_ms: u64) -> Task {
+    let declared = Duration::from_millis(declared_ms);
+    Task {
+        customer: Customer::new("kadriorg-crafts"),
+        class: Class::new("cut-plan"),
+        worth: 1.0,
+        arrived: Time::ZERO,
+        deadline: Time::from_millis(10_000),
+        declared,
+        needs: Needs::default(),
+        job_longest: declared,
+        job_work: declared,
+    }
+}
+
+fn main() {
+    let now = Time::ZERO;
+    let mut dispatcher = Dispatcher::new(Options::default());
+    dispatcher.update(&[upstream("u1"), upstream("u2")], |_| true, now);
+    for (name, ms) in [("long", 900), ("short", 50), ("middle", 200)] {
+        dispatcher.enqueue(task(ms), name, now).expect("the queue has room");
+    }
+    let first = dispatcher.assign(now);
+    for assignment in &first {
+        println!("{} goes to {}", assignment.payload, assignment.upstream);
+    }
+    println!("{} waits", dispatcher.waiting());
+    let done = Time::from_millis(50);
+    dispatcher.finish(first[0].run, Finish::Succeeded, done);
+    for assignment in dispatcher.assign(done) {
+        println!("{} goes to {}", assignment.payload, assignment.upstream);
+    }
+    assert_eq!(dispatcher.waiting(), 0);
+}
--- /dev/null
+++ b/crates/heathertrack/examples/shares.rs
@@ -0,0 +1,50 @@
+//! Two hosts share an allowance of 10 tasks at once; the idle one lends to the busy one.
+
+use heathertrack::clock::Time;
+use heathertrack::name::{Customer, Host};
+use heathertrack::share::{Account, Holder, Keeper, Table, portion};
+use heathertrack::ticket::Incarnation;
+use std::time::Duration;
+
+fn holder(name: &str) -> Holder {
+    Holder { host: Host::new(name), incarnation: Incarnation(1) }
+}
+
+/// Lets a host look at the table and write what it finds due.
+fn look(keeper: &mut Keeper, table: &mut Table) {
+    keeper.confirm(table, Duration::ZERO, Time::ZERO);
+    let plan = keeper.plan(table, |_| false).or_else(|| keeper.release(table, Time::ZERO));
+    if let Some(written) = plan {
+        *table = written;
+        keeper.confirm(table, Duration::ZERO, Time::ZERO);
+    }
+}
+
+fn main() {
+    let now = Time::ZERO;
+    let customer = Customer::new("kadriorg-crafts");
+    let mut table = Table::default();
+    let mut keepers = [Keeper::new(holder("e1")), Keeper::new(holder("e2"))];
+    for _ in 0..4 {
+        keepers.iter_mut().for_each(|keeper| look(keeper, &mut table));
+    }
+    let parts = keepers.map(|keeper| portion(10, &customer, keeper.usable(now)));
+    println!("parts of 10 tasks at once: {parts:?}");
+
+    let mut idle: Account<&str> = Account::new(100, now);
+    let mut busy: Account<&str> = Account::new(200, now);
+    idle.set_part(parts[0], 100.0, 50.0, now);
+    busy.set_part(parts[1], 100.0, 50.0, now);
+    let later = now + Duration::from_secs(1);
+    let end = later + Duration::from_secs(2);
+    let own = std::iter::from_fn(|| busy.take(end, later)).count();
+    println!("the busy host starts {own} on its own part");
+
+    let term = Duration::from_secs(3);
+    let loan = idle.lend(3, 3, term, later).expect("it has some free");
+    busy.borrow("e1", loan, term, later);
+    let borrowed = std::iter::from_fn(|| busy.take(end, later)).count();
+    println!("and {borrowed} on a loan; the lender has {} left", idle.free_part());
+
+    assert_eq!(own + borrowed + idle.free_part() as usize, 10);
+}
--- a/crates/heathertrack_cli/src/lists/apply.rs
+++ b/crates/heathertrack_cli/src/lists/apply.rs
@@ -121,8 +121,11 @@
     let mut shown = Vec::new();
     loop {
         let hosts = operators::revisions(&apply.operators, list).await;
-        let missing: Vec<String> =
-            hosts.iter().filter(|h| h.revision < Some(revision)).map(|h| h.label()).collect();
+        let missing: Vec<String> = hosts
+            .iter()
+            .filter(|h| h.revision < Some(revision))
+            .map(operators::Revision::label)
+            .collect();
         if !json && missing != shown && !missing.is_empty() {
             println!("not yet in force at {}", missing.join(", "));
             shown.clone_from(&missing);
--- a/crates/heathertrack_platform/src/etcd.rs
+++ b/crates/heathertrack_platform/src/etcd.rs
@@ -73,15 +73,16 @@
 }
 
 impl Store for Etcd {
-    async fn get(&self, key: &str) -> Result<Option<Value>, Fault> {
-        let request = RangeRequest { key: key.into(), range_end: None };
+    async fn get_newer(&self, key: &str, revision: u64) -> Result<Option<Value>, Fault> {
+        let min_mod_revision = Number(if revision == 0 { 0 } else { revision as i64 + 1 });
+        let request = RangeRequest { key: key.into(), min_mod_revision, ..Default::default() };
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
         response.kvs.first().map(value).transpose()
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Value>, Fault> {
         let range_end = Some(end_of_prefix(prefix));
-        let request = RangeRequest { key: prefix.into(), range_end };
+        let request = RangeRequest { key: prefix.into(), range_end, ..Default::default() };
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
         response.kvs.iter().map(value).collect()
     }
@@ -99,7 +100,8 @@
     }
 
     async fn delete(&self, first: &str, end: &str) -> Result<(), Fault> {
-        let request = RangeRequest { key: first.into(), range_end: Some(end.into()) };
+        let request =
+            RangeRequest { key: first.into(), range_end: Some(end.into()), ..Default::default() };
         let _: serde_json::Value = self.call("/v3/kv/deleterange", &request).await?;
         Ok(())
     }
@@ -116,7 +118,7 @@
             mod_revision: Number(swap.expected as i64),
         }],
         success: vec![RequestOp::RequestPut(put)],
-        failure: vec![RequestOp::RequestRange(RangeRequest { key, range_end: None })],
+        failure: vec![RequestOp::RequestRange(RangeRequest { key, ..Default::default() })],
     }
 }
 
--- a/crates/heathertrack_platform/src/host_list.rs
+++ b/crates/heathertrack_platform/src/host_list.rs
@@ -1,6 +1,10 @@
 use crate::{Client, Fault};
+use bytes::Bytes;
 use heathertrack_wire::host_list::HostList as List;
-use hyper::{Method, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use hyper::{Request, Response, StatusCode, Uri};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Time after which a call for the list is given up.
@@ -13,25 +17,57 @@
 }
 
 /// A host list that is one JSON document over HTTP.
+///
+/// A list that has not changed is not sent again, if its server gives entity tags (RFC 9110).
 #[derive(Clone, Debug)]
 pub struct HttpHostList {
     client: Client,
     uri: Uri,
+    last: Arc<Mutex<Option<Tagged>>>,
+}
+
+/// The list that came last, with its entity tag.
+#[derive(Clone, Debug)]
+struct Tagged {
+    tag: HeaderValue,
+    list: List,
 }
 
 impl HttpHostList {
     /// Fetches the document at `uri`.
     pub fn open(uri: Uri) -> Self {
-        HttpHostList { client: Client::open(TIMEOUT), uri }
+        HttpHostList { client: Client::open(TIMEOUT), uri, last: Arc::default() }
     }
 }
 
 impl HostList for HttpHostList {
     async fn fetch(&self) -> Result<List, Fault> {
-        let (status, body) = self.client.call(Method::GET, &self.uri, Vec::new()).await?;
-        if status != StatusCode::OK {
-            return Err(Fault::BadAnswer(format!("status {status}")));
+        let last = self.last().clone();
+        let mut request = Request::get(&self.uri);
+        if let Some(last) = &last {
+            request = request.header(IF_NONE_MATCH, &last.tag);
         }
-        serde_json::from_slice(&body).map_err(|error| Fault::BadAnswer(error.to_string()))
+        let request = request.body(Full::default());
+        let request = request.map_err(|error| Fault::Unreachable(error.to_string()))?;
+        let answer = self.client.send_whole(request).await?;
+        match (answer.status(), last) {
+            (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.list),
+            (StatusCode::OK, _) => self.take(&answer),
+            (status, _) => Err(Fault::BadAnswer(format!("status {status}"))),
+        }
+    }
+}
+
+impl HttpHostList {
+    fn take(&self, answer: &Response<Bytes>) -> Result<List, Fault> {
+        let list: List = serde_json::from_slice(answer.body())
+            .map_err(|error| Fault::BadAnswer(error.to_string()))?;
+        let tag = answer.headers().get(ETAG).cloned();
+        *self.last() = tag.map(|tag| Tagged { tag, list: list.clone() });
+        Ok(list)
+    }
+
+    fn last(&self) -> MutexGuard<'_, Option<Tagged>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/heathertrack_platform/src/http.rs
+++ b/crates/heathertrack_platform/src/http.rs
@@ -1,7 +1,7 @@
 use crate::Fault;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -51,13 +51,22 @@
 
     /// Sends a request; gives the status and the whole body.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), Fault> {
+        let answer = self.send_whole(request).await?;
+        Ok((answer.status(), answer.into_body()))
+    }
+
+    /// Sends a request; gives the whole answer.
+    pub async fn send_whole(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Fault> {
         match tokio::time::timeout(self.timeout, self.exchange(request)).await {
             Ok(answer) => answer,
             Err(_) => Err(Fault::AnswerLost(format!("no answer in {:?}", self.timeout))),
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), Fault> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Fault> {
         let response = self.pool.request(request).await.map_err(|error| {
             if error.is_connect() {
                 Fault::Unreachable(error.to_string())
@@ -65,9 +74,9 @@
                 Fault::AnswerLost(error.to_string())
             }
         })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.map_err(|error| Fault::AnswerLost(error.to_string()))?;
-        Ok((status, body.to_bytes()))
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| Fault::AnswerLost(error.to_string()))?;
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
--- a/crates/heathertrack_platform/src/store.rs
+++ b/crates/heathertrack_platform/src/store.rs
@@ -34,7 +34,16 @@
 /// The platform's key-value store.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads a key.
-    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Value>, Fault>> + Send;
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Value>, Fault>> + Send {
+        self.get_newer(key, 0)
+    }
+
+    /// Reads a key if it was written after `revision`, so that what has not changed is not sent.
+    fn get_newer(
+        &self,
+        key: &str,
+        revision: u64,
+    ) -> impl Future<Output = Result<Option<Value>, Fault>> + Send;
 
     /// Reads all keys that start with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Value>, Fault>> + Send;
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/capacity.rs
@@ -0,0 +1,131 @@
+//! Measures what a node of real processes costs, idle and busy, and how that grows with hosts,
+//! upstreams, customers and the size of jobs: the slopes of docs/CAPACITY.md.
+
+use heathertrack_testkit::fixture::{Cluster, Plan};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Kernel ticks per second, as `/proc` counts processor time.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Time for a new cluster to come to rest, and time measured.
+const REST: Duration = Duration::from_secs(3);
+const SPAN: Duration = Duration::from_secs(8);
+/// Callers at once when the cost of tasks is measured.
+const CALLERS: usize = 16;
+
+/// What one process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Used {
+    processor_seconds: f64,
+    memory_mb: f64,
+}
+
+fn used(id: u32) -> Used {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or_default();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = resident.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
+    Used {
+        // User and system time are the 14th and 15th field, counted from the process number.
+        processor_seconds: (ticks(11) + ticks(12)) / TICKS_PER_SECOND,
+        memory_mb: kilobytes.unwrap_or_default() / 1_024.0,
+    }
+}
+
+/// Bytes that crossed loopback so far.
+fn loopback_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or_default()
+}
+
+/// Measures an idle cluster, per entry host.
+async fn idle(what: &str, plan: Plan) {
+    let cluster = Cluster::start(plan).await;
+    tokio::time::sleep(REST).await;
+    let count = cluster.hosts.len() as f64;
+    let before: f64 = processor(&cluster);
+    let (bytes, calls) = (loopback_bytes(), cluster.store_calls().await);
+    tokio::time::sleep(SPAN).await;
+    let seconds = SPAN.as_secs_f64();
+    let processor = (processor(&cluster) - before) / seconds / count * 100.0;
+    let memory = memory(&cluster);
+    let kilobytes = (loopback_bytes() - bytes) / seconds / count / 1_024.0;
+    let calls = (cluster.store_calls().await - calls) as f64 / seconds;
+    println!(
+        "{what}: {processor:.2}% of a core, {memory:.1} MB, {kilobytes:.1} KB/s a host (both ways, \
+         platform included); {calls:.1} store calls/s in all"
+    );
+}
+
+fn processor(cluster: &Cluster) -> f64 {
+    cluster.hosts.iter().map(|host| used(host.process.id()).processor_seconds).sum()
+}
+
+fn memory(cluster: &Cluster) -> f64 {
+    let all: f64 = cluster.hosts.iter().map(|host| used(host.process.id()).memory_mb).sum();
+    all / cluster.hosts.len() as f64
+}
+
+/// Measures the cost of tasks in jobs of this many, over two hosts of one data centre.
+async fn busy(tasks: usize) {
+    let plan = Plan::default().data_centres(&["dc-1"]).upstreams(&[1.0; 8]);
+    let cluster = Cluster::start(plan.allowance("wholesale", 100_000, 900_000.0)).await;
+    let before = processor(&cluster);
+    let began = Instant::now();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let caller = cluster.caller("pirita-souvenirs");
+        let host = cluster.hosts[number % 2].callers;
+        let job = cluster.job(tasks, 1);
+        callers.spawn(async move {
+            let mut done = 0;
+            let ticket = caller.ticket(&host).await;
+            while began.elapsed() < SPAN {
+                let key = format!("{ticket}/{done}");
+                let answer = caller.submit(&host, Some(&key), &job).await;
+                done += usize::from(answer.status == 200);
+                if answer.status != 200 {
+                    break;
+                }
+            }
+            done
+        });
+    }
+    let jobs: usize = callers.join_all().await.into_iter().sum();
+    let seconds = began.elapsed().as_secs_f64();
+    let started = (jobs * tasks) as f64;
+    let micros = (processor(&cluster) - before) * 1e6 / started;
+    println!(
+        "jobs of {tasks}: {:.0} starts/s, {micros:.0} us of processor time a task, {jobs} jobs \
+         recorded, {:.1} MB a host",
+        started / seconds,
+        memory(&cluster)
+    );
+}
+
+#[tokio::main]
+async fn main() {
+    for hosts in [2, 4, 6, 8] {
+        let plan = Plan::default().data_centres(&["dc-1"]).hosts(hosts);
+        idle(&format!("{hosts} hosts, one data centre"), plan).await;
+    }
+    for data_centres in [&["a", "b"][..], &["a", "b", "c", "d"], &["a", "b", "c", "d", "e", "f"]] {
+        let plan = Plan::default().data_centres(data_centres).hosts(2).upstreams(&[1.0]);
+        idle(&format!("{} data centres of 2 hosts", data_centres.len()), plan).await;
+    }
+    for upstreams in [0, 90, 520] {
+        let plan = Plan::default().data_centres(&["dc-1"]).listed_only(upstreams);
+        idle(&format!("2 hosts, {upstreams} more upstreams listed"), plan).await;
+    }
+    for customers in [0, 50, 500] {
+        let plan = Plan::default().data_centres(&["dc-1"]).more_customers(customers);
+        idle(&format!("2 hosts, {customers} more customers"), plan).await;
+    }
+    for tasks in [1, 40, 340] {
+        busy(tasks).await;
+    }
+}
--- a/crates/heathertrack_testkit/src/client.rs
+++ b/crates/heathertrack_testkit/src/client.rs
@@ -52,6 +52,12 @@
         Client { pool, token: token.to_owned() }
     }
 
+    /// The same, but speaking HTTP/2 only.
+    pub fn http2(token: &str) -> Self {
+        let pool = Pool::builder(TokioExecutor::new()).http2_only(true).build_http();
+        Client { pool, token: token.to_owned() }
+    }
+
     /// Submits a job, under a key if there is one.
     pub async fn submit(&self, host: &SocketAddr, key: Option<&str>, job: &str) -> Answer {
         self.call(Method::POST, host, "/v1/jobs", key, job).await
--- a/crates/heathertrack_testkit/src/platform.rs
+++ b/crates/heathertrack_testkit/src/platform.rs
@@ -6,7 +6,7 @@
 pub use fault::Fault;
 pub use keys::Keys;
 
-use crate::server::{Action, Whole, json, serve, status};
+use crate::server::{Action, Whole, json, serve, status, tagged};
 use heathertrack_wire::host_list::HostList;
 use heathertrack_wire::store::{RangeRequest, TxnRequest};
 use hyper::StatusCode;
@@ -51,7 +51,7 @@
             tokio::time::sleep(Duration::from_millis(fault.slow_ms)).await;
         }
         if let Some(rest) = request.path.strip_prefix("/hosts") {
-            return self.hosts(rest.trim_start_matches('/'), &fault);
+            return self.hosts(rest.trim_start_matches('/'), &request.known_tag, &fault);
         }
         if fault.down {
             return Action::Close;
@@ -61,12 +61,13 @@
         if fault.lose_answers { Action::Close } else { action }
     }
 
-    fn hosts(&self, name: &str, fault: &Fault) -> Action {
+    fn hosts(&self, name: &str, known_tag: &str, fault: &Fault) -> Action {
         if fault.hosts_down {
             return Action::Close;
         }
         let inner = self.lock();
-        json(inner.hosts_for.get(name).unwrap_or(&inner.hosts))
+        let list = inner.hosts_for.get(name).unwrap_or(&inner.hosts);
+        tagged(list, &format!("\"{}\"", list.revision), known_tag)
     }
 
     fn store(&self, request: &Whole) -> Action {
--- a/crates/heathertrack_testkit/src/platform/keys.rs
+++ b/crates/heathertrack_testkit/src/platform/keys.rs
@@ -14,8 +14,9 @@
 impl Keys {
     /// Reads a key or a range of keys.
     pub fn range(&self, request: &RangeRequest) -> RangeResponse {
-        let matches = |key: &&Vec<u8>| within(request, key);
-        let kvs = self.pairs.iter().filter(|(key, _)| matches(key)).map(|(_, pair)| pair.clone());
+        let newer = |pair: &KeyValue| pair.mod_revision >= request.min_mod_revision;
+        let pairs = self.pairs.iter().filter(|(key, pair)| within(request, key) && newer(pair));
+        let kvs = pairs.map(|(_, pair)| pair.clone());
         RangeResponse { header: self.header(), kvs: kvs.collect() }
     }
 
--- a/crates/heathertrack_testkit/src/server.rs
+++ b/crates/heathertrack_testkit/src/server.rs
@@ -29,6 +29,8 @@
     pub method: String,
     /// Path.
     pub path: String,
+    /// The `If-None-Match` header, or nothing.
+    pub known_tag: String,
     /// The `Task-Key` header, or nothing.
     pub task_key: String,
     /// Body.
@@ -67,11 +69,12 @@
     F: Future<Output = Action>,
 {
     let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let known_tag = header("if-none-match").unwrap_or_default().to_owned();
     let task_key = header("task-key").unwrap_or_default().to_owned();
     let method = request.method().to_string();
     let path = request.uri().path().to_owned();
     let body = request.into_body().collect().await?.to_bytes();
-    match answer(Whole { method, path, task_key, body }).await {
+    match answer(Whole { method, path, known_tag, task_key, body }).await {
         Action::Answer(reply) => Ok(reply),
         Action::Close => {
             let _ = close.send(true);
@@ -86,6 +89,18 @@
     Action::Answer(Response::new(Full::new(Bytes::from(body))))
 }
 
+/// A JSON answer with an entity tag, or a short one if the asker knows that tag.
+pub fn tagged(value: &impl Serialize, tag: &str, known_tag: &str) -> Action {
+    if tag == known_tag {
+        return status(StatusCode::NOT_MODIFIED);
+    }
+    let Action::Answer(mut reply) = json(value) else { return Action::Close };
+    if let Ok(tag) = tag.parse() {
+        reply.headers_mut().insert("etag", tag);
+    }
+    Action::Answer(reply)
+}
+
 /// An answer without a body.
 pub fn status(status: StatusCode) -> Action {
     let mut reply = Response::new(Full::new(Bytes::new()));
--- a/crates/heathertrack_testkit/tests/allowance.rs
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -1,7 +1,7 @@
 //! Allowances over all hosts: exact in sum, and moved to where they are needed.
 
 use heathertrack_testkit::client::Answer;
-use heathertrack_testkit::fixture::{Cluster, Plan};
+use heathertrack_testkit::fixture::{Cluster, Load, Plan};
 use heathertrack_testkit::upstream::Start;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -93,3 +93,25 @@
     assert_eq!((refused.status, refused.run().as_str()), (429, "not_run"));
     assert_eq!(cluster.starts().await.len(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_are_cut_off_and_frozen_do_not_exceed_the_allowance() {
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(3).upstreams(&[1.0, 1.0]);
+    let cluster = Cluster::start(plan.relays().allowance("workshop", 6, 1_000.0)).await;
+    let load = Load::start(&cluster, "kadriorg-crafts", 12, 60);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+
+    cluster.cut(|from, to| from == "e1" || to == "e1");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.hosts[1].process.freeze();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.mend();
+    cluster.hosts[1].process.thaw();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let oracle = load.end().await;
+
+    let starts = cluster.starts().await;
+    assert_eq!(oracle.faults(&starts), Vec::<String>::new());
+    assert!(oracle.complete() > 0, "{:?}", oracle.statuses());
+    assert!(most_at_once(&starts) <= 6, "{} at once", most_at_once(&starts));
+}
--- a/crates/heathertrack_testkit/tests/path.rs
+++ b/crates/heathertrack_testkit/tests/path.rs
@@ -4,6 +4,8 @@
 use heathertrack_testkit::fixture::{Cluster, Plan};
 use heathertrack_testkit::oracle::Oracle;
 use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// A submission under way.
@@ -89,3 +91,45 @@
     assert_eq!(alive.status, 200);
     assert_eq!(cluster.starts().await.len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_may_speak_http_2() {
+    let cluster = Cluster::start(Plan::default().data_centres(&["ee-north-1"])).await;
+    let caller = Client::http2("token-kadriorg-crafts");
+    let host = cluster.hosts[0].callers;
+    let mut sending = JoinSet::new();
+
+    for _ in 0..20 {
+        let (caller, job) = (caller.clone(), cluster.job(2, 20));
+        sending.spawn(async move { caller.submit(&host, None, &job).await });
+    }
+    let answers = sending.join_all().await;
+
+    for answer in answers {
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_and_half_open_clients_do_not_hold_a_host() {
+    let cluster = Cluster::start(Plan::default().data_centres(&["ee-north-1"])).await;
+    let host = &cluster.hosts[0];
+    let mut held = Vec::new();
+    let half = "POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n{";
+    let pieces = ["", "POST /v1", half, "\0\0\0\0", "PRI * HTTP/2.0\r\n\r\n"];
+
+    for address in [host.callers, host.peers, host.operators] {
+        for number in 0..40 {
+            let mut stream = TcpStream::connect(address).await.expect("the host listens");
+            let piece = pieces[number % pieces.len()];
+            stream.write_all(piece.as_bytes()).await.expect("the host takes bytes");
+            held.push(stream);
+        }
+    }
+    let caller = cluster.caller("kadriorg-crafts");
+    let answer = caller.submit(&host.callers, None, &cluster.job(3, 5)).await;
+
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    assert!(host.is_ready().await);
+    drop(held);
+}
--- a/crates/heathertrack_wire/src/caller/outcome.rs
+++ b/crates/heathertrack_wire/src/caller/outcome.rs
@@ -33,7 +33,9 @@
     pub fn bytes(&self) -> usize {
         const OVERHEAD_BYTES: usize = 64;
         let answers = match self {
-            Outcome::Complete(answers) => answers.iter().map(|answer| answer.body.len()).sum(),
+            Outcome::Complete(answers) => {
+                answers.iter().map(|answer| answer.body.len() + OVERHEAD_BYTES).sum()
+            }
             Outcome::Problem(problem) => problem.detail.len(),
         };
         answers + OVERHEAD_BYTES
--- a/crates/heathertrack_wire/tests/noise.rs
+++ b/crates/heathertrack_wire/tests/noise.rs
@@ -1,5 +1,10 @@
 //! Every parser is fed noise and damaged documents: it refuses them, and does not panic.
 
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck properties take their arguments by value"
+)]
+
 use heathertrack::lists::{Allowances, Plans};
 use heathertrack_wire::caller::{Job, Key};
 use heathertrack_wire::host_list::HostList;
--- a/crates/heathertrackd/src/beats.rs
+++ b/crates/heathertrackd/src/beats.rs
@@ -15,7 +15,7 @@
 /// How often peers of this data centre are told.
 const EVERY: Duration = Duration::from_millis(400);
 /// Every how many rounds peers of other data centres are told too.
-const FAR_ROUNDS: u32 = 2;
+const FAR_ROUNDS: u32 = 3;
 /// A peer that was not heard for this long counts as silent.
 pub const TIMEOUT: Duration = Duration::from_millis(1_600);
 
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -204,7 +204,8 @@
                 ended = self.ends.recv() => match ended {
                     Some(ended) => {
                         if let Some(problem) = self.take(ended) {
-                            return self.fail(Kind::TaskFailed, problem).await;
+                            let kind = self.kind_of_failure();
+                            return self.fail(kind, problem).await;
                         }
                     }
                     None => return self.fail(Kind::TaskFailed, "a task was dropped".to_owned()).await,
@@ -235,6 +236,11 @@
         }
     }
 
+    /// A task that fails as the deadline comes has run out of time, whoever noticed first.
+    fn kind_of_failure(&self) -> Kind {
+        if self.state.now() >= self.deadline { Kind::DeadlinePassed } else { Kind::TaskFailed }
+    }
+
     /// Stops what has not started and tells what may be said of the job.
     async fn fail(mut self, kind: Kind, detail: String) -> Outcome {
         self.stop.cancel();
--- a/crates/heathertrackd/src/lists/follow.rs
+++ b/crates/heathertrackd/src/lists/follow.rs
@@ -1,13 +1,13 @@
 //! Follows the lists: one host of the data centre reads the store often, the others seldom, and
 //! all pass on what is newer.
 
+use super::Side;
 use crate::log::Event;
 use crate::metrics;
 use crate::state::State;
-use heathertrack::lists::{Allowances, Plans};
 use heathertrack::membership::rendezvous;
 use heathertrack::name::Host;
-use heathertrack_platform::{Store, Value};
+use heathertrack_platform::Store;
 use heathertrack_wire::frame;
 use heathertrack_wire::list::List;
 use std::sync::Arc;
@@ -41,35 +41,31 @@
     rendezvous("lists", &hosts) == Some(&state.home.host)
 }
 
+/// Reads what is newer than what was seen of each list.
 async fn read(state: &Arc<State>, store: &impl Store) {
-    let prefix = format!("{}/lists/", state.settings.platform.prefix);
+    let plans = read_side(state, store, &state.lists.plans).await;
+    let allowances = read_side(state, store, &state.lists.allowances).await;
+    if plans || allowances {
+        split(state);
+    }
+}
+
+async fn read_side<T: List>(state: &State, store: &impl Store, side: &Side<T>) -> bool {
+    let key = format!("{}/lists/{}", state.settings.platform.prefix, T::NAME);
     metrics::store_call("lists");
-    match store.list(&prefix).await {
-        Ok(values) => {
-            for value in values {
-                take(state, &prefix, &value);
-            }
+    match store.get_newer(&key, side.seen()).await {
+        Ok(Some(value)) => {
+            side.offer(&String::from_utf8_lossy(&value.data), value.revision, &state.log)
         }
+        Ok(None) => false,
         Err(fault) => {
             metrics::store_fault("lists");
             state.log.write(&Event::PlatformFault("lists", fault.to_string()));
+            false
         }
     }
 }
 
-fn take(state: &Arc<State>, prefix: &str, value: &Value) {
-    let text = String::from_utf8_lossy(&value.data);
-    let name = value.key.strip_prefix(prefix).unwrap_or_default();
-    let changed = match name {
-        Plans::NAME => state.lists.plans.offer(&text, value.revision, &state.log),
-        Allowances::NAME => state.lists.allowances.offer(&text, value.revision, &state.log),
-        _ => false,
-    };
-    if changed {
-        split(state);
-    }
-}
-
 /// Splits the allowances anew.
 pub fn split(state: &State) {
     let lists = &state.lists;
--- a/crates/heathertrackd/src/lists/side.rs
+++ b/crates/heathertrackd/src/lists/side.rs
@@ -42,6 +42,11 @@
         self.current.load().as_ref().map_or(0, |current| current.revision)
     }
 
+    /// Highest revision seen, in force or refused; zero for none.
+    pub fn seen(&self) -> u64 {
+        lock(&self.book).seen().map_or(0, |revision| revision.0)
+    }
+
     /// Findings in a newer list that was refused.
     pub fn faults(&self) -> Option<String> {
         lock(&self.faults).clone()
--- a/crates/heathertrackd/src/seats.rs
+++ b/crates/heathertrackd/src/seats.rs
@@ -23,8 +23,13 @@
 /// Starts the loop that keeps the seats.
 pub fn spawn<S: Store>(state: &Arc<State>, store: S) {
     let own = Holder { host: state.home.host.clone(), incarnation: state.home.incarnation };
-    let keeping =
-        Keeping { state: state.clone(), store, keeper: Keeper::new(own), gone: Gone::default() };
+    let keeping = Keeping {
+        state: state.clone(),
+        store,
+        keeper: Keeper::new(own),
+        gone: Gone::default(),
+        last: Read::default(),
+    };
     tokio::spawn(keeping.run());
 }
 
@@ -33,9 +38,12 @@
     store: S,
     keeper: Keeper,
     gone: Gone,
+    /// The table as it came last.
+    last: Read,
 }
 
 /// The table as it was read, and its revision.
+#[derive(Clone, Debug, Default)]
 struct Read {
     table: Table,
     revision: u64,
@@ -109,11 +117,15 @@
         format!("{}/seats", self.state.settings.platform.prefix)
     }
 
-    async fn read(&self) -> Option<Read> {
+    /// The table as it is in the store now; it is sent only if it has changed.
+    async fn read(&mut self) -> Option<Read> {
         metrics::store_call("seats");
-        match self.store.get(&self.key()).await {
-            Ok(Some(value)) => self.parse(&value),
-            Ok(None) => Some(Read { table: Table::default(), revision: 0 }),
+        match self.store.get_newer(&self.key(), self.last.revision).await {
+            Ok(Some(value)) => {
+                self.last = self.parse(&value)?;
+                Some(self.last.clone())
+            }
+            Ok(None) => Some(self.last.clone()),
             Err(fault) => {
                 self.note_fault(&fault.to_string());
                 None
