Split the large job and model files; fuzz the estimates

Change: job/admission.rs; the model's steps and jobs in files of their own; estimates against a steady truth and bounds.

--- /dev/null
+++ b/crates/heathertrack/tests/fuzz/estimates.rs
@@ -0,0 +1,76 @@
+//! Estimates stay finite whatever they are told, and find a steady truth.
+
+use crate::harness::{Effort, check};
+use heathertrack::clock::Time;
+use heathertrack::dispatch::{Estimates, Task};
+use heathertrack::name::{Class, Customer};
+use quickcheck::TestResult;
+use std::time::Duration;
+
+const EFFORT: Effort = Effort { length: 80, cases: 500 };
+/// Classes told apart at most.
+const MOST_CLASSES: usize = 256;
+
+fn task(class: &str, declared: Duration) -> Task {
+    Task {
+        customer: Customer::new("kadriorg-crafts"),
+        class: Class::new(class),
+        worth: 1.0,
+        arrived: Time::ZERO,
+        deadline: Time::from_millis(10_000),
+        declared,
+        needs: Default::default(),
+        job_longest: declared,
+        job_work: declared,
+    }
+}
+
+#[test]
+fn estimates_stay_within_bounds_whatever_is_seen() {
+    fn property(seen: Vec<(u32, u32)>) -> TestResult {
+        let mut estimates = Estimates::default();
+        for (declared_us, actual_us) in seen {
+            let declared = Duration::from_micros(u64::from(declared_us));
+            let task = task("cut-plan", declared);
+            estimates.learn(&task, Duration::from_micros(u64::from(actual_us)));
+            let expected = estimates.expect(&task.class, declared);
+            // No estimate leaves three orders of magnitude around what was declared, or an hour.
+            let low = declared.mul_f64(0.000_9);
+            let high = declared.mul_f64(1_001.0).max(Duration::from_secs(3_600));
+            if expected < low || expected > high {
+                return TestResult::error(format!("{expected:?} for {declared:?}"));
+            }
+        }
+        TestResult::passed()
+    }
+    check(EFFORT, property as fn(Vec<(u32, u32)>) -> TestResult);
+}
+
+#[test]
+fn a_class_whose_declarations_are_off_by_a_factor_is_seen_through() {
+    fn property(factor: u8) -> TestResult {
+        let factor = 0.1 + f64::from(factor % 100) / 10.0;
+        let mut estimates = Estimates::default();
+        for ms in (1..=60).map(|n| 10 + n * 7) {
+            let declared = Duration::from_millis(ms);
+            estimates.learn(&task("quote", declared), declared.mul_f64(factor));
+        }
+        let expected = estimates.expect(&Class::new("quote"), Duration::from_millis(100));
+        let truth = 0.1 * factor;
+        TestResult::from_bool((expected.as_secs_f64() / truth - 1.0).abs() < 0.05)
+    }
+    check(EFFORT, property as fn(u8) -> TestResult);
+}
+
+#[test]
+fn the_classes_told_apart_are_bounded() {
+    let mut estimates = Estimates::default();
+
+    for number in 0..2 * MOST_CLASSES {
+        let task = task(&format!("class-{number}"), Duration::ZERO);
+        estimates.learn(&task, Duration::from_millis(50));
+    }
+
+    assert_eq!(estimates.classes(), MOST_CLASSES);
+    assert!(estimates.knows(&Class::new("class-511"), Duration::ZERO));
+}
--- a/crates/heathertrack/tests/fuzz/main.rs
+++ b/crates/heathertrack/tests/fuzz/main.rs
@@ -11,6 +11,7 @@
 mod allowance;
 mod at_most_once;
 mod dispatcher;
+mod estimates;
 mod harness;
 mod lists;
 mod membership;
--- /dev/null
+++ b/crates/heathertrack/tests/fuzz/world/jobs.rs
@@ -0,0 +1,79 @@
+//! Jobs that have begun: their tasks start, end or are given up.
+
+use super::{Checked, HOLD_MS, Missing, Reply, World};
+use heathertrack::run::Run;
+use std::time::Duration;
+
+impl World {
+    /// A byte of a job's task leaves.
+    pub(super) fn start(&mut self, job: usize) -> Checked {
+        let Some(job) = self.open_job(job) else {
+            return Ok(());
+        };
+        if self.jobs[job].started || !self.jobs[job].evidence.hand_over() {
+            return Ok(());
+        }
+        self.jobs[job].started = true;
+        let known = &mut self.keys[self.jobs[job].key];
+        known.starts += 1;
+        if known.starts > 1 {
+            return Err(format!("{:?} started twice", known.key));
+        }
+        if known.never {
+            return Err(format!("{:?} started after it was said to be cancelled", known.key));
+        }
+        Ok(())
+    }
+
+    /// A job that has no outcome yet, in a process that can act.
+    fn open_job(&mut self, job: usize) -> Option<usize> {
+        if self.jobs.is_empty() {
+            return None;
+        }
+        let job = job % self.jobs.len();
+        let acting = self.process_of(job).is_some_and(|process| !process.frozen);
+        (acting && self.jobs[job].reply.is_none()).then_some(job)
+    }
+
+    pub(super) fn end(&mut self, job: usize) {
+        let Some(job) = self.open_job(job) else {
+            return;
+        };
+        if self.jobs[job].started {
+            self.jobs[job].reply = Some(Reply::Answer(job));
+            self.store_outcome(job, false);
+        }
+    }
+
+    /// A job fails: its deadline came, a task failed, or it was cancelled.
+    pub(super) fn give_up(&mut self, job: usize) -> Checked {
+        let Some(job) = self.open_job(job) else { return Ok(()) };
+        let run = self.jobs[job].evidence.close();
+        let not_run = run == Run::NotRun || self.missing == Missing::Evidence;
+        let cancelled = self.jobs[job].cancelled;
+        self.jobs[job].reply = Some(match (not_run, cancelled) {
+            (true, true) => Reply::Never,
+            (true, false) => Reply::NotRun { at_ms: self.now_ms },
+            (false, _) => Reply::MayHaveRun,
+        });
+        if not_run && self.keys[self.jobs[job].key].starts > 0 {
+            return Err(format!("job {job} is said not to have run, and did"));
+        }
+        self.store_outcome(job, not_run && !cancelled);
+        Ok(())
+    }
+
+    fn store_outcome(&mut self, job: usize, refused: bool) {
+        let now_ms = self.now_ms;
+        let key = self.keys[self.jobs[job].key].key.clone();
+        let Some(process) = self.process_of(job) else {
+            return;
+        };
+        if refused {
+            let until = process.clocks(now_ms).now + Duration::from_millis(HOLD_MS);
+            process.desk.refuse(&key, job, until);
+        } else {
+            process.desk.finish(&key, job, 1);
+        }
+    }
+}
--- a/crates/heathertrack_testkit/examples/capacity.rs
+++ b/crates/heathertrack_testkit/examples/capacity.rs
@@ -1,6 +1,7 @@
 //! Measures what a node of real processes costs, idle and busy, and how that grows with hosts,
 //! upstreams, customers and the size of jobs: the slopes of docs/CAPACITY.md.
 
+use argh::FromArgs;
 use heathertrack_testkit::fixture::{Cluster, Plan};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
@@ -107,25 +108,45 @@
     );
 }
 
+/// Measures what a node costs.
+#[derive(FromArgs)]
+struct Arguments {
+    /// only this part: hosts, data_centres, upstreams, customers or jobs
+    #[argh(option)]
+    only: Option<String>,
+}
+
 #[tokio::main]
 async fn main() {
-    for hosts in [2, 4, 6, 8] {
-        let plan = Plan::default().data_centres(&["dc-1"]).hosts(hosts);
-        idle(&format!("{hosts} hosts, one data centre"), plan).await;
+    let arguments: Arguments = argh::from_env();
+    let wanted = |part: &str| arguments.only.as_ref().is_none_or(|only| only == part);
+    let one = || Plan::default().data_centres(&["dc-1"]);
+    if wanted("hosts") {
+        for hosts in [2, 4, 6, 8] {
+            idle(&format!("{hosts} hosts, one data centre"), one().hosts(hosts)).await;
+        }
     }
-    for data_centres in [&["a", "b"][..], &["a", "b", "c", "d"], &["a", "b", "c", "d", "e", "f"]] {
-        let plan = Plan::default().data_centres(data_centres).hosts(2).upstreams(&[1.0]);
-        idle(&format!("{} data centres of 2 hosts", data_centres.len()), plan).await;
+    if wanted("data_centres") {
+        let names = ["a", "b", "c", "d", "e", "f"];
+        for count in [2, 4, 6] {
+            let plan = Plan::default().data_centres(&names[..count]).upstreams(&[1.0]);
+            idle(&format!("{count} data centres of 2 hosts"), plan).await;
+        }
     }
-    for upstreams in [0, 90, 520] {
-        let plan = Plan::default().data_centres(&["dc-1"]).listed_only(upstreams);
-        idle(&format!("2 hosts, {upstreams} more upstreams listed"), plan).await;
+    if wanted("upstreams") {
+        for count in [0, 90, 520] {
+            let what = format!("2 hosts, {count} more upstreams listed");
+            idle(&what, one().listed_only(count)).await;
+        }
     }
-    for customers in [0, 50, 500] {
-        let plan = Plan::default().data_centres(&["dc-1"]).more_customers(customers);
-        idle(&format!("2 hosts, {customers} more customers"), plan).await;
+    if wanted("customers") {
+        for count in [0, 50, 500] {
+            idle(&format!("2 hosts, {count} more customers"), one().more_customers(count)).await;
+        }
     }
-    for tasks in [1, 40, 340] {
-        busy(tasks).await;
+    if wanted("jobs") {
+        for tasks in [1, 40, 340] {
+            busy(tasks).await;
+        }
     }
 }
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -1,15 +1,15 @@
 //! The life of one job at its home: admission, its tasks, its one outcome.
 
+mod admission;
 mod task;
 
 use crate::log::{Event, JobEvent};
 use crate::metrics;
 use crate::state::{State, lock};
 use heathertrack::clock::Time;
-use heathertrack::dispatch::Refusal;
 use heathertrack::lists::{Allowance, Customer as Listed};
 use heathertrack::name::{Class, Customer};
-use heathertrack::run::{Evidence, Run};
+use heathertrack::run::Evidence;
 use heathertrack_wire::caller::{Answer, Job, Kind, Outcome, Problem};
 use heathertrack_wire::frame::TaskEnd;
 use std::sync::{Arc, Mutex};
@@ -19,8 +19,6 @@
 
 /// How long a cancelled job waits for its tasks to be proved unstarted.
 const PROOF_WAIT: Duration = Duration::from_millis(50);
-/// Time in which a refused caller may try again.
-const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A job that its home has taken on.
 #[derive(Debug)]
@@ -54,7 +52,7 @@
     let class = Class::new(&accepted.job.class);
     let arrived = accepted.arrived;
     let customer = accepted.customer.clone();
-    if let Err(problem) = admit(state, &accepted, &class) {
+    if let Err(problem) = admission::admit(state, &accepted, &class) {
         log_refused(state, &accepted, &problem);
         return Outcome::Problem(problem);
     }
@@ -90,71 +88,6 @@
     job.tasks.iter().map(|task| state.dispatcher.expect(class, task.declared)).sum()
 }
 
-/// Decides whether to take a job on. Nothing of it has left, so every refusal is `not_run`.
-fn admit(state: &State, accepted: &Accepted, class: &Class) -> Result<(), Problem> {
-    check_plan(accepted)?;
-    check_allowance(state, accepted)?;
-    let job = &accepted.job;
-    let now = state.now();
-    // A guess is no ground for a refusal.
-    let known = job.tasks.iter().all(|task| state.dispatcher.knows(class, task.declared));
-    let time = |span: Duration| if known { span } else { Duration::ZERO };
-    let admitted = state.placement.admit(
-        state.dispatcher.load(now),
-        job.tasks.iter().map(|task| task.needs),
-        time(work(state, job, class)),
-        time(longest(state, job, class)),
-        accepted.deadline.since(now),
-    );
-    admitted.map_err(|refusal| {
-        let kind = match refusal {
-            Refusal::DeadlineTooShort { .. } => Kind::DeadlineTooShort,
-            Refusal::FitsNowhere { .. } => Kind::FitsNowhere,
-        };
-        let problem = Problem::new(kind, Run::NotRun, refusal.to_string());
-        match kind {
-            Kind::DeadlineTooShort => problem.retry_after_ms(RETRY_AFTER_MS),
-            _ => problem,
-        }
-    })
-}
-
-fn check_plan(accepted: &Accepted) -> Result<(), Problem> {
-    let Accepted { job, allowance, .. } = accepted;
-    let plan = &accepted.listed.plan;
-    let over = |detail: String| Err(Problem::new(Kind::OverPlan, Run::NotRun, detail));
-    if job.tasks.len() > allowance.tasks_per_job {
-        let most = allowance.tasks_per_job;
-        return over(format!(
-            "the plan {plan} allows {most} tasks in a job, not {}",
-            job.tasks.len()
-        ));
-    }
-    if job.deadline > allowance.deadline {
-        let most = allowance.deadline.as_millis();
-        return over(format!("the plan {plan} allows a deadline of {most} ms"));
-    }
-    let large = job.tasks.iter().position(|task| !allowance.task.holds(&task.needs));
-    if let Some(index) = large {
-        return over(format!("task {index} takes more of a worker than the plan {plan} allows"));
-    }
-    Ok(())
-}
-
-/// Refuses what the allowance can't start in time, however the hosts share it.
-fn check_allowance(state: &State, accepted: &Accepted) -> Result<(), Problem> {
-    let allowance = &accepted.allowance;
-    let queued = state.gate.waiting(&accepted.customer) + accepted.job.tasks.len();
-    let beyond_burst = (queued as f64 - allowance.burst).max(0.0);
-    let needed = Duration::from_secs_f64(beyond_burst / allowance.starts_per_second);
-    if needed <= accepted.job.deadline {
-        return Ok(());
-    }
-    let detail = format!("the allowance of starts is used up for {} ms", needed.as_millis());
-    let retry = u64::try_from(needed.as_millis()).unwrap_or(u64::MAX);
-    Err(Problem::new(Kind::AllowanceUsed, Run::NotRun, detail).retry_after_ms(retry))
-}
-
 /// A job whose tasks are under way.
 struct Tasks {
     state: Arc<State>,
--- /dev/null
+++ b/crates/heathertrackd/src/job/admission.rs
@@ -0,0 +1,77 @@
+//! Decides early, before anything of a job has left, whether it is taken on.
+
+use super::Accepted;
+use crate::state::State;
+use heathertrack::dispatch::Refusal;
+use heathertrack::name::Class;
+use heathertrack::run::Run;
+use heathertrack_wire::caller::{Kind, Problem};
+use std::time::Duration;
+
+/// Time in which a refused caller may try again.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Decides whether to take a job on. Nothing of it has left, so every refusal is `not_run`.
+pub(super) fn admit(state: &State, accepted: &Accepted, class: &Class) -> Result<(), Problem> {
+    check_plan(accepted)?;
+    check_allowance(state, accepted)?;
+    let job = &accepted.job;
+    let now = state.now();
+    // A guess is no ground for a refusal.
+    let known = job.tasks.iter().all(|task| state.dispatcher.knows(class, task.declared));
+    let time = |span: Duration| if known { span } else { Duration::ZERO };
+    let admitted = state.placement.admit(
+        state.dispatcher.load(now),
+        job.tasks.iter().map(|task| task.needs),
+        time(super::work(state, job, class)),
+        time(super::longest(state, job, class)),
+        accepted.deadline.since(now),
+    );
+    admitted.map_err(|refusal| {
+        let kind = match refusal {
+            Refusal::DeadlineTooShort { .. } => Kind::DeadlineTooShort,
+            Refusal::FitsNowhere { .. } => Kind::FitsNowhere,
+        };
+        let problem = Problem::new(kind, Run::NotRun, refusal.to_string());
+        match kind {
+            Kind::DeadlineTooShort => problem.retry_after_ms(RETRY_AFTER_MS),
+            _ => problem,
+        }
+    })
+}
+
+fn check_plan(accepted: &Accepted) -> Result<(), Problem> {
+    let Accepted { job, allowance, .. } = accepted;
+    let plan = &accepted.listed.plan;
+    let over = |detail: String| Err(Problem::new(Kind::OverPlan, Run::NotRun, detail));
+    if job.tasks.len() > allowance.tasks_per_job {
+        let most = allowance.tasks_per_job;
+        return over(format!(
+            "the plan {plan} allows {most} tasks in a job, not {}",
+            job.tasks.len()
+        ));
+    }
+    if job.deadline > allowance.deadline {
+        let most = allowance.deadline.as_millis();
+        return over(format!("the plan {plan} allows a deadline of {most} ms"));
+    }
+    let large = job.tasks.iter().position(|task| !allowance.task.holds(&task.needs));
+    if let Some(index) = large {
+        return over(format!("task {index} takes more of a worker than the plan {plan} allows"));
+    }
+    Ok(())
+}
+
+/// Refuses what the allowance can't start in time, however the hosts share it.
+fn check_allowance(state: &State, accepted: &Accepted) -> Result<(), Problem> {
+    let allowance = &accepted.allowance;
+    let queued = state.gate.waiting(&accepted.customer) + accepted.job.tasks.len();
+    let beyond_burst = (queued as f64 - allowance.burst).max(0.0);
+    let needed = Duration::from_secs_f64(beyond_burst / allowance.starts_per_second);
+    if needed <= accepted.job.deadline {
+        return Ok(());
+    }
+    let detail = format!("the allowance of starts is used up for {} ms", needed.as_millis());
+    let retry = u64::try_from(needed.as_millis()).unwrap_or(u64::MAX);
+    Err(Problem::new(Kind::AllowanceUsed, Run::NotRun, detail).retry_after_ms(retry))
+}
--- a/crates/heathertrackd/src/placement.rs
+++ b/crates/heathertrackd/src/placement.rs
@@ -125,6 +125,9 @@
             TaskEnd::Unstarted(reason) => last = reason,
             end => return end,
         }
+        if cancel.is_cancelled() {
+            break;
+        }
         state.timer.wait(TRY_PAUSE).await;
     }
     TaskEnd::Unstarted(last)
