Tell jobs of two customers apart when one is cancelled at a peer

Cause: peers knew the tasks of a job by its key alone; a customer who used another one's key and cancelled would have dropped that one's waiting tasks. Found by reading. Change: jobs are named by customer and key between hosts; a process test for it; the measuring program tells how much of the capacity was answered. Ruled out: refusing keys that another customer uses, which would tell that they are in use.

--- a/crates/heathertrack_testkit/examples/measure/bench.rs
+++ b/crates/heathertrack_testkit/examples/measure/bench.rs
@@ -3,7 +3,7 @@
 use crate::figures::{Ended, Figures};
 use crate::messages::Messages;
 use crate::setup::{
-    DATA_CENTRES, HOSTS_EACH, SLOTS, Setup, UPSTREAM_ROUND_TRIP, UPSTREAMS_EACH, slowness,
+    DATA_CENTRES, HOSTS_EACH, SLOTS, Setup, UPSTREAM_ROUND_TRIP, UPSTREAMS_EACH, capacity, slowness,
 };
 use crate::workload::{CUSTOMERS, Job, WORTHS, Workload};
 use heathertrack_platform::{Etcd, HttpHostList};
@@ -124,32 +124,38 @@
             let job = workload.job(faulty, self.callers.len());
             tokio::time::sleep_until(next.into()).await;
             let counted = began.elapsed() >= WARM_UP;
-            jobs.spawn(self.send(job, counted, faulty || fault.is_none(), under_way.clone()));
+            let end = began + WARM_UP + span;
+            let after_fault = faulty || fault.is_none();
+            jobs.spawn(self.send(job, counted, after_fault, end, under_way.clone()));
         }
-        let ended: Vec<Ended> = jobs.join_all().await.into_iter().flatten().collect();
+        let ended: Vec<Ended> = jobs.join_all().await;
         let messages = Messages::read(&self.operators[0]).await;
         let messages = messages.since(&before.unwrap_or_default());
-        let mut figures = Figures::of(variant, load, &ended, &messages);
+        let mut figures =
+            Figures::of(variant, load, &ended, capacity() * span.as_secs_f64(), &messages);
         figures.fault = fault.map(|fault| fault.name().to_owned());
         let to_failing = self.starts_at_failing() - failing_before;
-        let after: usize = ended.iter().filter(|job| job.after_fault).map(|job| job.tasks).sum();
+        let after = ended.iter().filter(|job| job.after_fault && job.counted);
+        let after: usize = after.map(|job| job.tasks).sum();
         figures.share_to_failing = to_failing as f64 / after.max(1) as f64;
         figures
     }
 
-    /// Sends one job after the client's latency; gives how it ended if it counts.
+    /// Sends one job after the client's latency; gives how it ended.
     fn send(
         &self,
         job: Job,
         counted: bool,
         after_fault: bool,
+        end: Instant,
         under_way: UnderWay,
-    ) -> impl Future<Output = Option<Ended>> + Send + 'static {
+    ) -> impl Future<Output = Ended> + Send + 'static {
         let client = self.clients[job.customer].clone();
         let host = self.callers[job.host];
         let latency = self.arguments.setup.client_latency();
         let ideal = job.longest + 2 * latency + UPSTREAM_ROUND_TRIP;
         let keyed = self.arguments.fault == Some(Fault::Cancel);
+        let span = Duration::from_secs_f64(self.arguments.seconds);
         async move {
             let key = if keyed { Some(format!("{}/1", client.ticket(&host).await)) } else { None };
             if let Some(key) = &key {
@@ -164,15 +170,19 @@
                 let mut under_way = under_way.lock().expect("nobody panics with it");
                 under_way.retain(|(_, other)| other != key);
             }
-            counted.then(|| Ended {
+            let left = end.saturating_duration_since(Instant::now());
+            Ended {
                 customer: job.customer,
                 tasks: job.tasks,
                 status: answer.status,
                 not_run: answer.says_not_run(),
                 elapsed: began.elapsed(),
                 ideal,
+                work: job.work,
+                counted,
+                in_time: (Duration::from_nanos(1)..=span).contains(&left),
                 after_fault,
-            })
+            }
         }
     }
 
--- a/crates/heathertrack_testkit/examples/measure/figures.rs
+++ b/crates/heathertrack_testkit/examples/measure/figures.rs
@@ -16,6 +16,12 @@
     pub not_run: bool,
     pub elapsed: Duration,
     pub ideal: Duration,
+    /// All its tasks at ordinary speed.
+    pub work: Duration,
+    /// Whether it was sent after the warm-up.
+    pub counted: bool,
+    /// Whether its answer came within the time measured.
+    pub in_time: bool,
     /// Whether it was sent after the fault began.
     pub after_fault: bool,
 }
@@ -50,6 +56,8 @@
     pub refusal_ms_p50: f64,
     pub failed: usize,
     pub share_to_failing: f64,
+    /// Work answered in the time measured, against what all upstreams could do in it.
+    pub work_of_capacity: f64,
 }
 
 /// One object with all figures.
@@ -68,8 +76,17 @@
 }
 
 impl Figures {
-    pub fn of(variant: &str, load: f64, ended: &[Ended], messages: &Messages) -> Self {
-        let complete: Vec<&Ended> = ended.iter().filter(|job| job.status == 200).collect();
+    pub fn of(
+        variant: &str,
+        load: f64,
+        all_ended: &[Ended],
+        capacity: f64,
+        messages: &Messages,
+    ) -> Self {
+        let in_time = all_ended.iter().filter(|job| job.status == 200 && job.in_time);
+        let work: f64 = in_time.map(|job| job.work.as_secs_f64()).sum();
+        let ended: Vec<&Ended> = all_ended.iter().filter(|job| job.counted).collect();
+        let complete: Vec<&Ended> = ended.iter().copied().filter(|job| job.status == 200).collect();
         let ratios = |keep: &dyn Fn(&Ended) -> bool| {
             let kept = complete.iter().filter(|job| keep(job));
             sorted(kept.map(|job| job.ratio()).collect())
@@ -77,7 +94,7 @@
         let all = ratios(&|_| true);
         let after = ratios(&|job| job.after_fault);
         let others = ratios(&|job| job.after_fault && job.customer != FLOODER);
-        let refused: Vec<&Ended> = ended.iter().filter(|job| job.not_run).collect();
+        let refused: Vec<&Ended> = ended.iter().copied().filter(|job| job.not_run).collect();
         let refusals =
             sorted(refused.iter().map(|job| job.elapsed.as_secs_f64() * 1_000.0).collect());
         let completed_tasks: usize = complete.iter().map(|job| job.tasks).sum();
@@ -104,6 +121,7 @@
             refusal_ms_p50: percentile(&refusals, 0.5),
             failed,
             share_to_failing: 0.0,
+            work_of_capacity: work / capacity,
         }
     }
 }
@@ -145,7 +163,7 @@
         write!(
             f,
             "messages {:.2} wasted {:.3} per task; {} completed ({} tasks), {} refused \
-             (p50 {:.1} ms), {} failed; {:.3} of tasks to failing upstreams",
+             (p50 {:.1} ms), {} failed; {:.3} of tasks to failing upstreams; work {:.2} of capacity",
             self.messages_per_task,
             self.wasted_messages_per_task,
             self.completed,
@@ -154,6 +172,7 @@
             self.refusal_ms_p50,
             self.failed,
             self.share_to_failing,
+            self.work_of_capacity,
         )
     }
 }
--- a/crates/heathertrack_testkit/examples/measure/workload.rs
+++ b/crates/heathertrack_testkit/examples/measure/workload.rs
@@ -38,6 +38,8 @@
     pub body: String,
     /// Longest task on the fastest upstream.
     pub longest: Duration,
+    /// All its tasks at ordinary speed.
+    pub work: Duration,
 }
 
 /// Draws jobs, the same for every policy.
@@ -75,10 +77,12 @@
         let cores = if impossible { 1_000 } else { 1 };
         let class = ["quote", "cut-plan", "stock"][self.random.random_range(0..3)];
         let mut longest: f64 = 0.0;
+        let mut work = 0.0;
         let mut list = Vec::with_capacity(tasks);
         for _ in 0..tasks {
             let time = self.run_time();
             longest = longest.max(time);
+            work += time;
             let mut declared = time * (DECLARED_SPREAD * self.normal()).exp();
             if fault == Some(Fault::Declared) {
                 declared /= 10.0;
@@ -95,6 +99,7 @@
             tasks,
             body: body.to_string(),
             longest: Duration::from_secs_f64(longest),
+            work: Duration::from_secs_f64(work),
         }
     }
 
--- a/crates/heathertrack_testkit/tests/upstreams.rs
+++ b/crates/heathertrack_testkit/tests/upstreams.rs
@@ -1,5 +1,6 @@
 //! Upstreams that leave, fail, hang, or die in mid-request.
 
+use heathertrack_testkit::client::{Client, mint};
 use heathertrack_testkit::fixture::{Cluster, Plan, eventually};
 use heathertrack_testkit::oracle::Oracle;
 use heathertrack_testkit::upstream::{Mode, Setting};
@@ -123,3 +124,29 @@
     oracle.note(&key, 5, cancelled);
     assert_eq!(oracle.faults(&cluster.starts().await), Vec::<String>::new());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelling_a_job_leaves_another_customers_job_of_the_same_key_alone() {
+    let cluster = Cluster::start(one_data_centre()).await;
+    let (one, other) = (cluster.caller("pirita-souvenirs"), cluster.caller("kadriorg-crafts"));
+    let host = cluster.hosts[0].callers;
+    let send = |caller: &Client, key: Option<String>, job: String| {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.submit(&host, key.as_deref(), &job).await })
+    };
+    let filler = send(&one, None, cluster.job(48, 600));
+    eventually("the upstreams are full", || async { cluster.starts().await.len() >= 24 }).await;
+    let key = mint();
+    let kept = send(&one, Some(key.clone()), cluster.job(40, 5));
+    let dropped = send(&other, Some(key.clone()), cluster.job(40, 5));
+    tokio::time::sleep(Duration::from_millis(150)).await;
+
+    let cancelled = other.cancel(&host, &key).await;
+    let (filler, kept) = (filler.await, kept.await);
+    let dropped = dropped.await.expect("the caller does not panic");
+
+    assert_eq!(cancelled, dropped);
+    let kept = kept.expect("the caller does not panic");
+    assert_eq!(kept.status, 200, "{}", String::from_utf8_lossy(&kept.body));
+    assert_eq!(filler.expect("the caller does not panic").status, 200);
+}
--- a/crates/heathertrack_wire/src/frame.rs
+++ b/crates/heathertrack_wire/src/frame.rs
@@ -16,4 +16,4 @@
 pub use load::Load;
 pub use loan::{Loan, LoanRequest};
 pub use submission::{Action, Submission};
-pub use task::{Task, TaskEnd, TaskReport};
+pub use task::{Task, TaskEnd, TaskReport, job_name};
--- a/crates/heathertrack_wire/src/frame/task.rs
+++ b/crates/heathertrack_wire/src/frame/task.rs
@@ -33,6 +33,19 @@
     pub hops: u8,
 }
 
+impl Task {
+    /// Names its job among those of all customers; a key alone may be used by two of them.
+    pub fn job(&self) -> String {
+        let job = self.key.rsplit_once('/').map_or(self.key.as_str(), |(job, _)| job);
+        job_name(&self.customer, job)
+    }
+}
+
+/// Names a job among those of all customers.
+pub fn job_name(customer: &str, key: &str) -> String {
+    format!("{customer}/{key}")
+}
+
 /// How a task ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskEnd {
--- a/crates/heathertrack_wire/src/service.rs
+++ b/crates/heathertrack_wire/src/service.rs
@@ -15,7 +15,7 @@
     /// Runs a task on an upstream that it dispatches to.
     async fn run(task: Task) -> TaskReport;
     /// Drops the waiting tasks of a job that was cancelled.
-    async fn cancel_job(key: String);
+    async fn cancel_job(job: String);
     /// Hears of free slots; it may send waiting tasks for them.
     async fn offer(host: String, load: Load);
     /// Lends a part of its share.
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -11,7 +11,7 @@
 use heathertrack::name::{Class, Customer};
 use heathertrack::run::Evidence;
 use heathertrack_wire::caller::{Answer, Job, Kind, Outcome, Problem};
-use heathertrack_wire::frame::TaskEnd;
+use heathertrack_wire::frame::{TaskEnd, job_name};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -91,7 +91,8 @@
 /// A job whose tasks are under way.
 struct Tasks {
     state: Arc<State>,
-    key: String,
+    /// Its name among those of all customers.
+    name: String,
     deadline: Time,
     cancel: CancellationToken,
     /// Cancels the tasks.
@@ -108,14 +109,14 @@
         let (sender, ends) = mpsc::channel(count);
         let evidence = Arc::new(Mutex::new(Evidence::default()));
         let stop = CancellationToken::new();
-        let key = accepted.key.clone();
+        let name = job_name(accepted.customer.as_str(), &accepted.key);
         let cancel = accepted.cancel.clone();
         let deadline = accepted.deadline;
         let shared = task::Shared { evidence: evidence.clone(), stop: stop.clone(), ends: sender };
         task::start(state, accepted, class, &shared);
         Tasks {
             state: state.clone(),
-            key,
+            name,
             deadline,
             cancel,
             stop,
@@ -151,7 +152,7 @@
                 }
             }
         }
-        self.state.peers.forget_job(&self.key);
+        self.state.peers.forget_job(&self.name);
         Outcome::Complete(self.answers.into_iter().flatten().collect())
     }
 
@@ -177,7 +178,7 @@
     /// Stops what has not started and tells what may be said of the job.
     async fn fail(mut self, kind: Kind, detail: String) -> Outcome {
         self.stop.cancel();
-        self.state.peers.cancel_job(&self.state, &self.key);
+        self.state.peers.cancel_job(&self.state, &self.name);
         // Tasks taken out of a queue in time are proved unstarted; the answer can then say so.
         let proof = async { while self.ends.recv().await.is_some() {} };
         let _ = tokio::time::timeout(PROOF_WAIT, proof).await;
--- a/crates/heathertrackd/src/peers.rs
+++ b/crates/heathertrackd/src/peers.rs
@@ -117,7 +117,7 @@
         deadline: Time,
     ) -> Option<TaskReport> {
         let line = self.line(state, peer).await?;
-        self.remember(&task.key, peer);
+        self.remember(task.job(), peer);
         let left = deadline.since(state.now());
         let result = line.client.run(within(left + SPARE), task).await;
         match line.judge(result) {
@@ -151,15 +151,10 @@
         lock(&self.sent).remove(job);
     }
 
-    fn remember(&self, task: &str, peer: &Host) {
-        let Some((job, _)) = task.rsplit_once('/') else {
-            return;
-        };
+    fn remember(&self, job: String, peer: &Host) {
         let mut sent = lock(&self.sent);
-        if let Some(peers) = sent.get_mut(job) {
-            peers.insert(peer.clone());
-        } else if sent.len() < REMEMBERED_JOBS {
-            sent.insert(job.to_owned(), HashSet::from([peer.clone()]));
+        if sent.len() < REMEMBERED_JOBS || sent.contains_key(&job) {
+            sent.entry(job).or_default().insert(peer.clone());
         }
     }
 
--- a/crates/heathertrackd/src/server.rs
+++ b/crates/heathertrackd/src/server.rs
@@ -111,8 +111,8 @@
         TaskReport { end, load }
     }
 
-    async fn cancel_job(self, _: Context, key: String) {
-        self.state.remotes.cancel(&key);
+    async fn cancel_job(self, _: Context, job: String) {
+        self.state.remotes.cancel(&job);
     }
 
     async fn offer(self, _: Context, host: String, load: Load) {
@@ -158,6 +158,7 @@
     if state.phase() >= Phase::Draining {
         return TaskEnd::Unstarted("this host is stopping".to_owned());
     }
+    let job = frame.job();
     let now = state.now();
     let (cores, memory_mb, accelerators) = frame.needs;
     let task = Spec {
@@ -177,7 +178,6 @@
         body: Bytes::from(frame.body),
         hops: frame.hops,
     });
-    let job = work.key.rsplit_once('/').map_or(work.key.as_str(), |(job, _)| job);
-    let remote = state.remotes.enter(job);
+    let remote = state.remotes.enter(&job);
     placement::run_here(state, &task, &work, remote.cancelled()).await
 }
