Pace the claims of minted keys below the store's writes

Cause: each host had one claim call in flight at all times; four hosts with 128 callers made 7,360 store calls a second, the store takes several hundred. Ruled out: a fixed pause between calls (no burst): the same ceiling, but each key of a quiet host would wait too. Change: 300 calls a second over all hosts, 10 at once after a pause; keys that wait share the next call. Closed loops: a host under 75 keys a second does not wait. Conclusion: kept; the price is latency above 75 keys/s a host.

--- a/crates/heathertrack_testkit/examples/capacity.rs
+++ b/crates/heathertrack_testkit/examples/capacity.rs
@@ -2,6 +2,7 @@
 //! upstreams, customers and the size of jobs: the slopes of docs/CAPACITY.md.
 
 use argh::FromArgs;
+use heathertrack_testkit::client::mint;
 use heathertrack_testkit::fixture::{Cluster, Plan};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
@@ -108,10 +109,44 @@
     );
 }
 
+/// Measures calls to the store and the time of jobs under caller-minted keys.
+async fn keys(callers: usize) {
+    let plan = Plan::default().data_centres(&["dc-1"]).hosts(4).upstreams(&[1.0; 8]);
+    let cluster = Cluster::start(plan.allowance("wholesale", 100_000, 900_000.0)).await;
+    let before = cluster.store_calls().await;
+    let began = Instant::now();
+    let mut sending = JoinSet::new();
+    for number in 0..callers {
+        let caller = cluster.caller("pirita-souvenirs");
+        let host = cluster.hosts[number % 4].callers;
+        let job = cluster.job(1, 1);
+        sending.spawn(async move {
+            let mut times = Vec::new();
+            while began.elapsed() < SPAN {
+                let sent = Instant::now();
+                let answer = caller.submit(&host, Some(&mint()), &job).await;
+                assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+                times.push(sent.elapsed());
+            }
+            times
+        });
+    }
+    let mut times: Vec<Duration> = sending.join_all().await.into_iter().flatten().collect();
+    let seconds = began.elapsed().as_secs_f64();
+    times.sort_unstable();
+    let calls = (cluster.store_calls().await - before) as f64;
+    println!(
+        "{callers} callers with minted keys, 4 hosts: {:.0} keys/s, {:.0} store calls/s, p50 {:?}",
+        times.len() as f64 / seconds,
+        calls / seconds,
+        times[times.len() / 2]
+    );
+}
+
 /// Measures what a node costs.
 #[derive(FromArgs)]
 struct Arguments {
-    /// only this part: hosts, data_centres, upstreams, customers or jobs
+    /// only this part: hosts, data_centres, upstreams, customers, jobs or keys
     #[argh(option)]
     only: Option<String>,
 }
@@ -149,4 +184,9 @@
             busy(tasks).await;
         }
     }
+    if wanted("keys") {
+        for callers in [1, 16, 128] {
+            keys(callers).await;
+        }
+    }
 }
--- a/crates/heathertrackd/src/claims.rs
+++ b/crates/heathertrackd/src/claims.rs
@@ -6,6 +6,7 @@
 use heathertrack::home::Clocks;
 use heathertrack::membership::rendezvous;
 use heathertrack::name::Customer;
+use heathertrack::share::Bucket;
 use heathertrack::ticket::Home;
 use heathertrack_platform::{Fault, Store, Swap, Swapped, Value};
 use heathertrack_wire::frame;
@@ -17,6 +18,10 @@
 
 /// Keys claimed in one call; the store takes 128 operations in a transaction by default.
 const BATCH: usize = 64;
+/// Calls per second of all entry hosts together, far enough below what the store takes.
+const CALLS_PER_SECOND: f64 = 300.0;
+/// Calls that one host may make at once after a pause.
+const BURST: f64 = 10.0;
 /// Requests that may wait; beyond it keys are refused at once.
 const PENDING: usize = 4_096;
 /// Calls made for one batch before its keys are given up.
@@ -101,8 +106,11 @@
 
 async fn serve(state: Arc<State>, store: impl Store, mut inbox: Inbox) {
     let mut batch = Vec::with_capacity(BATCH);
-    // What comes while a call is in flight shares the next one.
+    let mut calls = Bucket::new(state.now());
+    // What comes while a call is in flight, or may not go out yet, shares the next one.
     while inbox.requests.recv_many(&mut batch, BATCH).await > 0 {
+        pace(&state, &mut calls).await;
+        fill(&mut batch, &mut inbox);
         let mut claims: BTreeMap<String, Vec<oneshot::Sender<Owner>>> = BTreeMap::new();
         for request in batch.drain(..) {
             match request {
@@ -118,6 +126,26 @@
     }
 }
 
+/// Waits until this host may call again.
+async fn pace(state: &State, calls: &mut Bucket) {
+    let hosts = state.view().peers().count() + 1;
+    let rate = CALLS_PER_SECOND / hosts as f64;
+    calls.set(rate, BURST, state.now());
+    while !calls.take(state.now()) {
+        state.timer.wait(Duration::from_secs_f64(0.5 / rate)).await;
+    }
+}
+
+/// Adds what has come meanwhile.
+fn fill(batch: &mut Vec<Request>, inbox: &mut Inbox) {
+    while batch.len() < BATCH {
+        match inbox.requests.try_recv() {
+            Ok(request) => batch.push(request),
+            Err(_) => return,
+        }
+    }
+}
+
 async fn claim(
     state: &State,
     store: &impl Store,
