--- a/crates/heathertrackd/src/log/event.rs
+++ b/crates/heathertrackd/src/log/event.rs
@@ -69,6 +69,7 @@
     pub fn level(&self) -> Level {
         match self {
             Event::ListFaulty(..) | Event::NotHandedOver(_) | Event::LoopEnded(_) => Level::Error,
+            Event::PeerChanged(_, "alive") => Level::Info,
             Event::PlatformFault(..)
             | Event::PeerChanged(..)
             | Event::UpstreamEjected(_)
