Bound the records so that a full host stays under 128 MB

Change: 80,000 records and 24 MB of answers by default. Before/after, from the measured slope of 1.1 KB a record, not run: 261 MB at the bounds -> 121 MB.

--- a/crates/heathertrack/src/record/limits.rs
+++ b/crates/heathertrack/src/record/limits.rs
@@ -10,7 +10,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { records: 200_000, answer_bytes: 32 << 20 }
+        Limits { records: 80_000, answer_bytes: 24 << 20 }
     }
 }
 
--- a/crates/heathertrackd/src/settings/limits.rs
+++ b/crates/heathertrackd/src/settings/limits.rs
@@ -28,8 +28,8 @@
             connections: 4_096,
             ticket_valid: Duration::from_secs(120),
             minted: Window::default(),
-            records: 200_000,
-            answer_bytes: 32 << 20,
+            records: 80_000,
+            answer_bytes: 24 << 20,
             drain_notice: Duration::from_secs(2),
             threads: 0,
         }
