Work out a job's expected times once

Cause: on reading the whole change: a job's longest task and its work were worked out up to three times, with the dispatcher's lock taken for each task each time (about five locks a task); two places built the same log entry; HandOver carried a clock reading that nobody read; two fixtures waited for the stand-in platform in the same words. Ruled out: reading a keyed job's body once instead of twice (for its deadline, and at its home): a faulty body would then claim its key first, which changes behaviour. Change: job/expected.rs, asked under one lock; one function for the log entry; HandOver::now_us is gone; fixture::platform_answers. No speed was measured for it.

--- a/crates/heathertrack_testkit/examples/measure/bench.rs
+++ b/crates/heathertrack_testkit/examples/measure/bench.rs
@@ -8,7 +8,7 @@
 use crate::workload::{CUSTOMERS, Job, WORTHS, Workload};
 use heathertrack_platform::{Etcd, HttpHostList};
 use heathertrack_testkit::client::Client;
-use heathertrack_testkit::fixture::{customers, eventually, free_address};
+use heathertrack_testkit::fixture::{customers, eventually, free_address, platform_answers};
 use heathertrack_testkit::platform::Platform;
 use heathertrack_testkit::upstream::{Mode, Setting, Upstream};
 use heathertrackd::{Node, Settings, Trial};
@@ -293,11 +293,8 @@
 
 /// Writes the lists and the host list.
 async fn prepare(platform: SocketAddr, hosts: &[Value]) {
+    platform_answers(&platform).await;
     let client = Client::new("");
-    eventually("the platform answers", || async {
-        client.get::<u64>(&platform, "/control/calls").await.is_some()
-    })
-    .await;
     let list = json!({"revision": 1, "hosts": hosts}).to_string();
     client.call(Method::POST, &platform, "/control/hosts", None, &list).await;
     let entry = |n: usize| (name(n), "plan".to_owned(), WORTHS[n]);
--- a/crates/heathertrack_testkit/src/fixture.rs
+++ b/crates/heathertrack_testkit/src/fixture.rs
@@ -18,6 +18,8 @@
 pub use programs::Programs;
 pub use worker::Worker;
 
+use crate::client::Client;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for something that must come about; a limit on hanging, never a verdict on speed.
@@ -37,3 +39,12 @@
     }
     panic!("in {PATIENCE:?} it did not come about that {what}");
 }
+
+/// Waits until the stand-in platform at an address answers.
+pub async fn platform_answers(address: &SocketAddr) {
+    let client = Client::new("");
+    eventually("the platform answers", || async {
+        client.get::<u64>(address, "/control/calls").await.is_some()
+    })
+    .await;
+}
--- a/crates/heathertrack_wire/src/frame/hand_over.rs
+++ b/crates/heathertrack_wire/src/frame/hand_over.rs
@@ -10,8 +10,6 @@
     pub from: Home,
     /// The process that is to take over.
     pub to: Home,
-    /// Its clock at sending, in microseconds since its start.
-    pub now_us: u64,
     /// What it needs to check its tickets, and those that it took over itself.
     pub tickets: Vec<PartedTickets>,
     /// Records of jobs that have ended.
--- a/crates/heathertrackd/src/dispatch.rs
+++ b/crates/heathertrackd/src/dispatch.rs
@@ -67,11 +67,6 @@
         self.core().expect(class, declared)
     }
 
-    /// Whether a task's time is declared or learned, not guessed.
-    pub fn knows(&self, class: &Class, declared: Duration) -> bool {
-        self.core().knows(class, declared)
-    }
-
     /// Takes a new list of upstreams.
     pub fn update(&self, listed: &[Spec], owned: impl Fn(&Upstream) -> bool, now: Time) {
         self.core().update(listed, owned, now);
--- a/crates/heathertrackd/src/drain.rs
+++ b/crates/heathertrackd/src/drain.rs
@@ -140,14 +140,7 @@
     records: Vec<PartedRecord>,
     last: bool,
 ) -> Sent<Acceptance> {
-    let part = HandOver {
-        from: (&state.home).into(),
-        to: heir.into(),
-        now_us: state.now().as_micros(),
-        tickets,
-        records,
-        last,
-    };
+    let part = HandOver { from: (&state.home).into(), to: heir.into(), tickets, records, last };
     state.peers.take_over(state, &heir.host, part).await
 }
 
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -1,11 +1,13 @@
 //! The life of one job at its home: admission, its tasks, its one outcome.
 
 mod admission;
+mod expected;
 mod task;
 
 use crate::log::{Event, JobEvent};
 use crate::metrics;
 use crate::state::{State, lock};
+use expected::Expected;
 use heathertrack::clock::Time;
 use heathertrack::lists::{Allowance, Customer as Listed};
 use heathertrack::name::{Class, Customer};
@@ -52,40 +54,28 @@
     let class = Class::new(&accepted.job.class);
     let arrived = accepted.arrived;
     let customer = accepted.customer.clone();
-    if let Err(problem) = admission::admit(state, &accepted, &class) {
-        log_refused(state, &accepted, &problem);
+    let key = accepted.key.clone();
+    let expected = Expected::of(state, &accepted.job, &class);
+    if let Err(problem) = admission::admit(state, &accepted, &expected) {
+        state.log.write(&Event::JobRefused(event(&key, &customer, &problem)));
         return Outcome::Problem(problem);
     }
-    let ideal = longest(state, &accepted.job, &class);
-    let key = accepted.key.clone();
-    let outcome = Tasks::start(state, accepted, &class).finish().await;
+    let outcome = Tasks::start(state, accepted, &class, &expected).finish().await;
     let elapsed = state.now().since(arrived);
-    metrics::response(&customer, &class, elapsed, ideal, &outcome);
+    metrics::response(&customer, &class, elapsed, expected.longest, &outcome);
     if let Outcome::Problem(problem) = &outcome {
-        let detail = format!("{}: {}", problem.kind.name(), problem.detail);
-        let job = JobEvent { key, customer: customer.to_string(), detail };
-        state.log.write(&Event::JobFailed(job));
+        state.log.write(&Event::JobFailed(event(&key, &customer, problem)));
     }
     outcome
 }
 
-fn log_refused(state: &State, accepted: &Accepted, problem: &Problem) {
-    let job = JobEvent {
-        key: accepted.key.clone(),
-        customer: accepted.customer.to_string(),
+/// What is logged of a job that ends with a problem.
+fn event(key: &str, customer: &Customer, problem: &Problem) -> JobEvent {
+    JobEvent {
+        key: key.to_owned(),
+        customer: customer.to_string(),
         detail: format!("{}: {}", problem.kind.name(), problem.detail),
-    };
-    state.log.write(&Event::JobRefused(job));
-}
-
-/// Expected time of the longest task at ordinary speed.
-fn longest(state: &State, job: &Job, class: &Class) -> Duration {
-    let expected = job.tasks.iter().map(|task| state.dispatcher.expect(class, task.declared));
-    expected.max().unwrap_or_default()
-}
-
-fn work(state: &State, job: &Job, class: &Class) -> Duration {
-    job.tasks.iter().map(|task| state.dispatcher.expect(class, task.declared)).sum()
+    }
 }
 
 /// A job whose tasks are under way.
@@ -104,7 +94,7 @@
 }
 
 impl Tasks {
-    fn start(state: &Arc<State>, accepted: Accepted, class: &Class) -> Self {
+    fn start(state: &Arc<State>, accepted: Accepted, class: &Class, expected: &Expected) -> Self {
         let count = accepted.job.tasks.len();
         let (sender, ends) = mpsc::channel(count);
         let evidence = Arc::new(Mutex::new(Evidence::default()));
@@ -113,7 +103,7 @@
         let cancel = accepted.cancel.clone();
         let deadline = accepted.deadline;
         let shared = task::Shared { evidence: evidence.clone(), stop: stop.clone(), ends: sender };
-        task::start(state, accepted, class, &shared);
+        task::start(state, accepted, class, expected, &shared);
         Tasks {
             state: state.clone(),
             name,
--- a/crates/heathertrackd/src/job/admission.rs
+++ b/crates/heathertrackd/src/job/admission.rs
@@ -1,9 +1,9 @@
 //! Decides early, before anything of a job has left, whether it is taken on.
 
 use super::Accepted;
+use super::expected::Expected;
 use crate::state::State;
 use heathertrack::dispatch::Refusal;
-use heathertrack::name::Class;
 use heathertrack::run::Run;
 use heathertrack_wire::caller::{Kind, Problem};
 use std::time::Duration;
@@ -12,19 +12,22 @@
 const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Decides whether to take a job on. Nothing of it has left, so every refusal is `not_run`.
-pub(super) fn admit(state: &State, accepted: &Accepted, class: &Class) -> Result<(), Problem> {
+pub(super) fn admit(
+    state: &State,
+    accepted: &Accepted,
+    expected: &Expected,
+) -> Result<(), Problem> {
     check_plan(accepted)?;
     check_allowance(state, accepted)?;
     let job = &accepted.job;
     let now = state.now();
     // A guess is no ground for a refusal.
-    let known = job.tasks.iter().all(|task| state.dispatcher.knows(class, task.declared));
-    let time = |span: Duration| if known { span } else { Duration::ZERO };
+    let time = |span: Duration| if expected.known { span } else { Duration::ZERO };
     let admitted = state.placement.admit(
         state.dispatcher.load(now),
         job.tasks.iter().map(|task| task.needs),
-        time(super::work(state, job, class)),
-        time(super::longest(state, job, class)),
+        time(expected.work),
+        time(expected.longest),
         accepted.deadline.since(now),
     );
     admitted.map_err(|refusal| {
--- a/crates/heathertrackd/src/job/task.rs
+++ b/crates/heathertrackd/src/job/task.rs
@@ -1,5 +1,6 @@
 //! One task of a job: its permit, its hand-over, its end.
 
+use super::expected::Expected;
 use super::{Accepted, Ended};
 use crate::dispatch::Work;
 use crate::gate::Permit;
@@ -29,10 +30,14 @@
 }
 
 /// Starts every task of a job, each in a task of its own that outlives the job's caller.
-pub(super) fn start(state: &Arc<State>, accepted: Accepted, class: &Class, shared: &Shared) {
-    let job_longest = super::longest(state, &accepted.job, class);
-    let job_work = super::work(state, &accepted.job, class);
-    let due = accepted.arrived + job_longest * PATIENCE;
+pub(super) fn start(
+    state: &Arc<State>,
+    accepted: Accepted,
+    class: &Class,
+    expected: &Expected,
+    shared: &Shared,
+) {
+    let due = accepted.arrived + expected.longest * PATIENCE;
     for (index, spec) in accepted.job.tasks.into_iter().enumerate() {
         let task = Task {
             customer: accepted.customer.clone(),
@@ -42,8 +47,8 @@
             deadline: accepted.deadline,
             declared: spec.declared,
             needs: spec.needs,
-            job_longest,
-            job_work,
+            job_longest: expected.longest,
+            job_work: expected.work,
         };
         let work = work(&accepted.key, index, spec);
         state.work.spawn(run(state.clone(), index, task, work, due, shared.clone()));
