--- a/crates/heathertrack_wire/src/frame/beat.rs
+++ b/crates/heathertrack_wire/src/frame/beat.rs
@@ -12,6 +12,8 @@
     pub plans: u64,
     /// Revision of the allowances that it has in force.
     pub allowances: u64,
+    /// Revision of the table of seats that it read or wrote last.
+    pub seats: u64,
     /// How busy its dispatcher is; only within a data centre.
     pub load: Option<Load>,
     /// Which process took over from which.
--- a/crates/heathertrackd/src/beats.rs
+++ b/crates/heathertrackd/src/beats.rs
@@ -97,6 +97,7 @@
             successions.note(Home::from(stopped), Home::from(heir), now);
         }
     }
+    state.seats.hear(beat.seats);
     lists::fetch_if_newer(state, &from.host, beat.plans, beat.allowances);
 }
 
@@ -113,6 +114,7 @@
         draining: state.phase() >= Phase::Draining,
         plans: state.lists.plans.revision(),
         allowances: state.lists.allowances.revision(),
+        seats: state.seats.seen(),
         load: near.then(|| frame::Load::from(&state.dispatcher.load(state.now()))),
         successions: successions.iter().map(pair).collect(),
     }
--- a/crates/heathertrackd/src/seats.rs
+++ b/crates/heathertrackd/src/seats.rs
@@ -1,7 +1,11 @@
 //! Keeps this host's seats in the table of the platform's store.
 
 mod gone;
+mod notice;
 
+pub use notice::Notice;
+
+use crate::beats;
 use crate::gate;
 use crate::log::Event;
 use crate::metrics;
@@ -13,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often the table is read.
+/// How often the table is read; more often only when a peer tells of a newer one.
 const EVERY: Duration = Duration::from_secs(1);
 /// How often a process that stops looks whether it may give up its seats.
 const LEAVE_EVERY: Duration = Duration::from_millis(100);
@@ -52,8 +56,16 @@
 impl<S: Store> Keeping<S> {
     async fn run(mut self) {
         let mut ticks = self.state.timer.every(EVERY).await;
-        while ticks.next().await.is_some() && !self.state.ended.is_cancelled() {
-            if self.state.phase() >= Phase::Draining {
+        let state = self.state.clone();
+        loop {
+            tokio::select! {
+                tick = ticks.next() => if tick.is_none() { return },
+                () = state.seats.newer() => {}
+            }
+            if state.ended.is_cancelled() {
+                return;
+            }
+            if state.phase() >= Phase::Draining {
                 return self.leave().await;
             }
             self.round().await;
@@ -122,7 +134,7 @@
         metrics::store_call("seats");
         match self.store.get_newer(&self.key(), self.last.revision).await {
             Ok(Some(value)) => {
-                self.last = self.parse(&value)?;
+                self.remember(self.parse(&value)?);
                 Some(self.last.clone())
             }
             Ok(None) => Some(self.last.clone()),
@@ -133,6 +145,11 @@
         }
     }
 
+    fn remember(&mut self, read: Read) {
+        self.state.seats.see(read.revision);
+        self.last = read;
+    }
+
     fn parse(&self, value: &Value) -> Option<Read> {
         match Seats::read(&value.data) {
             Ok(table) => Some(Read { table, revision: value.revision }),
@@ -143,17 +160,22 @@
         }
     }
 
-    /// Writes the table. If the answer is lost, the next round reads what came of it; until then
-    /// nothing that it would have given is used.
+    /// Writes the table and tells the peers, so that seats given up do not lie idle until they
+    /// read it by themselves. If the answer is lost, the next round reads what came of it; until
+    /// then nothing that it would have given is used.
     async fn write(&mut self, table: Table, revision: u64) -> bool {
         let swap = Swap { key: self.key(), expected: revision, value: Seats::write(&table) };
         metrics::store_call("seats");
         match self.store.swap(vec![swap]).await {
-            Ok(swapped) if matches!(swapped.first(), Some(Swapped::Done(_))) => {
+            Ok(swapped) => {
+                let Some(Swapped::Done(revision)) = swapped.first() else {
+                    return false;
+                };
                 self.confirm(&table);
+                self.remember(Read { table, revision: *revision });
+                beats::tell_all(&self.state, true);
                 true
             }
-            Ok(_) => false,
             Err(fault) => {
                 self.note_fault(&fault.to_string());
                 false
--- a/crates/heathertrackd/src/state.rs
+++ b/crates/heathertrackd/src/state.rs
@@ -9,6 +9,7 @@
 use crate::log::Log;
 use crate::peers::Peers;
 use crate::placement::Placement;
+use crate::seats;
 use crate::server::Remotes;
 use crate::settings::Settings;
 use crate::timer::Timer;
@@ -54,6 +55,8 @@
     pub peers: Peers,
     pub claims: Claims,
     pub remotes: Remotes,
+    /// Which table of seats was seen here, and that a newer one exists.
+    pub seats: seats::Notice,
     /// Jobs and tasks in progress.
     pub work: TaskTracker,
     /// Ends the loops.
@@ -101,6 +104,7 @@
             peers: Peers::default(),
             claims: parts.claims,
             remotes: Remotes::default(),
+            seats: seats::Notice::default(),
             work: TaskTracker::new(),
             ended: CancellationToken::new(),
             phase: AtomicU8::new(Phase::Serving as u8),
