Give the permit of a task back when its upstream has failed it

Cause: a task that ended without success kept its permit until its deadline, as it might still run. That is right when the connection was lost, but an upstream that answers with a failure has ended the task. A worker that fails everything it starts so used up a customer's allowance: with 2 tasks at once, the third job waited until its deadline.

Ruled out: giving every failed task's permit back at once; a task whose connection broke may run on, and the allowance would be exceeded.

Change: a task's end is told as failed (the upstream has ended it) or lost (nothing tells whether it still runs), between hosts too. Only what is lost keeps its permit until the deadline.

--- a/crates/heathertrack/tests/fuzz/dispatcher.rs
+++ b/crates/heathertrack/tests/fuzz/dispatcher.rs
@@ -298,6 +298,48 @@
     assert!(share <= 0.02, "{later:?}");
 }
 
+/// Runs a task every 20 ms; those on `bad` hang until their deadline and are then abandoned.
+fn run_with_a_hanging_upstream(model: &mut Model, bad: usize, count: usize) -> Vec<i32> {
+    const DEADLINE_MS: u16 = 2_000;
+    let mut got = vec![0; UPSTREAMS];
+    let mut hanging: Vec<(usize, RunKey, Time)> = Vec::new();
+    for _ in 0..count {
+        let enqueue = Event::Enqueue { declared_ms: 50, deadline_ms: DEADLINE_MS, customer: 0 };
+        let _ = model.apply(enqueue);
+        for number in 0..model.tasks.len() {
+            let Place::Running(run, at) = model.tasks[number] else { continue };
+            model.tasks[number] = Place::Gone;
+            got[at] += 1;
+            if at == bad {
+                let deadline = model.now + Duration::from_millis(u64::from(DEADLINE_MS));
+                hanging.push((number, run, deadline));
+            } else {
+                model.dispatcher.finish(run, Finish::Succeeded, model.now);
+            }
+        }
+        model.now = model.now + Duration::from_millis(20);
+        let now = model.now;
+        hanging.retain(|(_, run, deadline)| {
+            if *deadline <= now {
+                model.dispatcher.finish(*run, Finish::Abandoned, now);
+            }
+            *deadline > now
+        });
+    }
+    got
+}
+
+#[test]
+fn an_upstream_that_hangs_gets_almost_nothing() {
+    let mut model = Model::new();
+
+    run_with_a_hanging_upstream(&mut model, 2, 400);
+    let later = run_with_a_hanging_upstream(&mut model, 2, 4_000);
+
+    let share = f64::from(later[2]) / f64::from(later.iter().sum::<i32>());
+    assert!(share <= 0.02, "{later:?}");
+}
+
 #[test]
 fn a_class_that_fails_everywhere_does_not_empty_the_fleet() {
     let mut model = Model::new();
--- a/crates/heathertrack_testkit/tests/upstreams.rs
+++ b/crates/heathertrack_testkit/tests/upstreams.rs
@@ -77,6 +77,26 @@
     fail_whole(Mode::Refuse).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_that_an_upstream_has_failed_give_their_part_of_the_allowance_back() {
+    let cluster = Cluster::start(one_data_centre().allowance("workshop", 2, 1_000.0)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    for worker in &cluster.workers {
+        worker.set(Setting::default().mode(Mode::Fail)).await;
+    }
+    let long = r#"{"deadline_ms": 20000, "tasks": [{"path": "/a"}]}"#;
+    let short = r#"{"deadline_ms": 10000, "tasks": [{"path": "/a"}]}"#;
+    let mut statuses = Vec::new();
+
+    for (number, job) in [long, long, short, short].into_iter().enumerate() {
+        let host = cluster.hosts[number % 2].callers;
+        statuses.push(caller.submit(&host, None, job).await.status);
+    }
+
+    // Each was failed by an upstream; none waited for a permit until its deadline.
+    assert_eq!(statuses, vec![502; 4]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_on_an_upstream_that_hangs_is_failed_at_its_deadline() {
     let cluster = Cluster::start(one_data_centre()).await;
--- a/crates/heathertrack_wire/src/frame/task.rs
+++ b/crates/heathertrack_wire/src/frame/task.rs
@@ -51,8 +51,10 @@
 pub enum TaskEnd {
     /// With the upstream's answer.
     Answered(Answer),
-    /// Without an answer, and it may have run.
+    /// The upstream has ended it with a failure; it may have run.
     Failed(String),
+    /// Without an answer: it may have run, and may still run until its deadline.
+    Lost(String),
     /// No byte of it left, and none will.
     Unstarted(String),
 }
--- a/crates/heathertrackd/src/dispatch.rs
+++ b/crates/heathertrackd/src/dispatch.rs
@@ -165,7 +165,7 @@
             Ok(reply) => reply,
             Err(_) => {
                 service.finish(&state, &upstream, run, Finish::Abandoned);
-                let _ = pending.done.send(TaskEnd::Failed("no answer in time".to_owned()));
+                let _ = pending.done.send(TaskEnd::Lost("no answer in time".to_owned()));
                 service.pump(&state);
                 return;
             }
@@ -180,6 +180,10 @@
             service.finish(&state, &upstream, run, Finish::Failed);
             let _ = pending.done.send(TaskEnd::Failed(format!("{upstream}: {reason}")));
         }
+        Reply::Lost(reason) => {
+            service.finish(&state, &upstream, run, Finish::Failed);
+            let _ = pending.done.send(TaskEnd::Lost(format!("{upstream}: {reason}")));
+        }
         Reply::Unsent(reason) => {
             service.finish(&state, &upstream, run, Finish::Unsent);
             service.try_again(&state, pending, format!("{upstream}: {reason}"));
--- a/crates/heathertrackd/src/job.rs
+++ b/crates/heathertrackd/src/job.rs
@@ -154,7 +154,7 @@
                 self.open -= 1;
                 None
             }
-            TaskEnd::Failed(reason) | TaskEnd::Unstarted(reason) => {
+            TaskEnd::Failed(reason) | TaskEnd::Lost(reason) | TaskEnd::Unstarted(reason) => {
                 Some(format!("task {}: {reason}", ended.index))
             }
         }
--- a/crates/heathertrackd/src/job/task.rs
+++ b/crates/heathertrackd/src/job/task.rs
@@ -84,7 +84,7 @@
     if matches!(end, TaskEnd::Unstarted(_)) {
         lock(&evidence).unstarted();
     }
-    let lost = matches!(end, TaskEnd::Failed(_));
+    let lost = matches!(end, TaskEnd::Lost(_));
     let _ = ends.send(Ended { index, end }).await;
     if lost {
         // Nothing tells whether it still runs. It counts as out until its deadline.
--- a/crates/heathertrackd/src/peers.rs
+++ b/crates/heathertrackd/src/peers.rs
@@ -124,7 +124,7 @@
             Sent::Answer(report) => Some(report),
             Sent::Unsent => None,
             Sent::Lost => {
-                let end = TaskEnd::Failed(format!("{peer} was lost while it had the task"));
+                let end = TaskEnd::Lost(format!("{peer} was lost while it had the task"));
                 Some(TaskReport { end, load: Load::default() })
             }
         }
--- a/crates/heathertrackd/src/placement.rs
+++ b/crates/heathertrackd/src/placement.rs
@@ -151,7 +151,7 @@
             end.await
         }
     };
-    ended.unwrap_or_else(|_| TaskEnd::Failed("its dispatcher dropped it".to_owned()))
+    ended.unwrap_or_else(|_| TaskEnd::Lost("its dispatcher dropped it".to_owned()))
 }
 
 /// Runs a task on a peer's dispatcher.
--- a/crates/heathertrackd/src/pool.rs
+++ b/crates/heathertrackd/src/pool.rs
@@ -41,8 +41,10 @@
 pub enum Reply {
     /// With a success.
     Answered(Answer),
-    /// The upstream failed it, or a byte may have left and no answer came.
+    /// The upstream has ended it with a failure.
     Failed(String),
+    /// A byte may have left, and no whole answer came.
+    Lost(String),
     /// No byte of it left.
     Unsent(String),
 }
@@ -83,14 +85,14 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let reply = read(response).await;
-                if !matches!(reply, Reply::Failed(_)) {
+                if matches!(reply, Reply::Answered(_)) {
                     self.put(address, sender);
                 }
                 Sent::Reply(reply)
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Sent::GivenBack(Box::new(request), error.error().to_string()),
-                None => Sent::Reply(Reply::Failed(error.into_error().to_string())),
+                None => Sent::Reply(Reply::Lost(error.into_error().to_string())),
             },
         }
     }
@@ -144,7 +146,7 @@
     let status = response.status();
     let body = match Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return Reply::Failed(format!("the answer broke off: {error}")),
+        Err(error) => return Reply::Lost(format!("the answer broke off: {error}")),
     };
     if !status.is_success() {
         return Reply::Failed(format!("the upstream answered {status}"));
--- a/crates/heathertrackd/src/server.rs
+++ b/crates/heathertrackd/src/server.rs
@@ -106,7 +106,7 @@
     async fn run(self, _: Context, task: Task) -> TaskReport {
         let state = self.state.clone();
         let end = self.state.work.spawn(async move { run(&state, task).await });
-        let end = end.await.unwrap_or_else(|error| TaskEnd::Failed(error.to_string()));
+        let end = end.await.unwrap_or_else(|error| TaskEnd::Lost(error.to_string()));
         let load = Load::from(&self.state.dispatcher.load(self.state.now()));
         TaskReport { end, load }
     }
