Measure jobs that need an accelerator; sleep precisely in the stand-ins

Cause: the runtime's timer counts whole milliseconds and rounds up, so that a client's way of 1 ms took up to 2 ms in the measurement; and nothing measured tasks that only some workers can hold.

--- a/crates/heathertrack_testkit/examples/measure/arguments.rs
+++ b/crates/heathertrack_testkit/examples/measure/arguments.rs
@@ -18,7 +18,7 @@
     #[argh(option)]
     pub variant: Option<String>,
     /// a fault in the middle of each run: straggler, failing, declared, burst, cancel, impossible,
-    /// rack, straggler_burst, flood or overload
+    /// rack, straggler_burst, flood, overload or accelerated
     #[argh(option)]
     pub fault: Option<Fault>,
     /// sizes and objective: virumaa or dongbaek
--- a/crates/heathertrack_testkit/examples/measure/bench.rs
+++ b/crates/heathertrack_testkit/examples/measure/bench.rs
@@ -3,13 +3,15 @@
 use crate::figures::{Ended, Figures};
 use crate::messages::Messages;
 use crate::setup::{
-    DATA_CENTRES, HOSTS_EACH, SLOTS, Setup, UPSTREAM_ROUND_TRIP, UPSTREAMS_EACH, capacity, slowness,
+    DATA_CENTRES, HOSTS_EACH, SLOTS, Setup, UPSTREAM_ROUND_TRIP, UPSTREAMS_EACH, accelerators,
+    capacity, slowness,
 };
 use crate::workload::{CUSTOMERS, Job, WORTHS, Workload};
 use heathertrack_platform::{Etcd, HttpHostList};
 use heathertrack_testkit::client::Client;
 use heathertrack_testkit::fixture::{customers, eventually, free_address, platform_answers};
 use heathertrack_testkit::platform::Platform;
+use heathertrack_testkit::precise;
 use heathertrack_testkit::upstream::{Mode, Setting, Upstream};
 use heathertrackd::{Node, Settings, Trial};
 use hyper::Method;
@@ -163,9 +165,9 @@
                 under_way.push((job.customer, key.clone()));
             }
             let began = Instant::now();
-            tokio::time::sleep(latency).await;
+            precise::sleep(latency).await;
             let answer = client.submit(&host, key.as_deref(), &job.body).await;
-            tokio::time::sleep(latency).await;
+            precise::sleep(latency).await;
             if let Some(key) = &key {
                 let mut under_way = under_way.lock().expect("nobody panics with it");
                 under_way.retain(|(_, other)| other != key);
@@ -253,6 +255,7 @@
             "data_centre": data_centre(index / UPSTREAMS_EACH),
             "rack": format!("r{}", index / RACK), "role": "upstream", "state": "live",
             "slots": SLOTS, "connections": 64, "cores": cores, "memory_mb": memory_mb,
+            "accelerators": accelerators(index % UPSTREAMS_EACH),
         }));
         upstreams.push(upstream);
     }
@@ -302,7 +305,7 @@
     let allowances = json!({"plans": {"plan": {
         "tasks_at_once": 60_000, "starts_per_second": 60_000.0, "burst": 60_000.0,
         "tasks_per_job": 340, "task_cores": 2_000, "task_memory_mb": 8_192,
-        "task_accelerators": 0, "deadline_ms": 30_000,
+        "task_accelerators": 1, "deadline_ms": 30_000,
     }}});
     write_list(platform, "plans", &plans).await;
     write_list(platform, "allowances", &allowances).await;
--- a/crates/heathertrack_testkit/examples/measure/fault.rs
+++ b/crates/heathertrack_testkit/examples/measure/fault.rs
@@ -23,9 +23,11 @@
     Flood,
     /// Twice the capacity is asked for.
     Overload,
+    /// One of ten jobs of a single task needs an accelerator, which few upstreams have.
+    Accelerated,
 }
 
-const NAMES: [(&str, Fault); 10] = [
+const NAMES: [(&str, Fault); 11] = [
     ("straggler", Fault::Straggler),
     ("failing", Fault::Failing),
     ("declared", Fault::Declared),
@@ -36,6 +38,7 @@
     ("straggler_burst", Fault::StragglerBurst),
     ("flood", Fault::Flood),
     ("overload", Fault::Overload),
+    ("accelerated", Fault::Accelerated),
 ];
 
 impl FromStr for Fault {
--- a/crates/heathertrack_testkit/examples/measure/setup.rs
+++ b/crates/heathertrack_testkit/examples/measure/setup.rs
@@ -73,6 +73,11 @@
     SPREAD.powf(place)
 }
 
+/// Accelerators of each upstream of a data centre: only one has any, four of them.
+pub fn accelerators(index: usize) -> u32 {
+    if index == 4 { 4 } else { 0 }
+}
+
 /// Ordinary seconds of work that all upstreams do in a second.
 pub fn capacity() -> f64 {
     let each: f64 = (0..UPSTREAMS_EACH).map(|i| f64::from(SLOTS) / slowness(i)).sum();
--- a/crates/heathertrack_testkit/examples/measure/workload.rs
+++ b/crates/heathertrack_testkit/examples/measure/workload.rs
@@ -75,6 +75,8 @@
         }
         let impossible = fault == Some(Fault::Impossible) && self.random.random_bool(0.05);
         let cores = if impossible { 1_000 } else { 1 };
+        let accelerated =
+            fault == Some(Fault::Accelerated) && tasks == 1 && self.random.random_bool(0.1);
         let class = ["quote", "cut-plan", "stock"][self.random.random_range(0..3)];
         let mut longest: f64 = 0.0;
         let mut work = 0.0;
@@ -90,7 +92,7 @@
             let declared_ms = ((declared * 1_000.0) as u64).max(1);
             let us = (time * 1e6) as u64;
             list.push(json!({"path": "/run", "body": {"us": us}, "declared_ms": declared_ms,
-                             "cores": cores}));
+                             "cores": cores, "accelerators": u8::from(accelerated)}));
         }
         let body = json!({"class": class, "deadline_ms": DEADLINE_MS, "tasks": list});
         Job {
--- /dev/null
+++ b/crates/heathertrack_testkit/src/precise.rs
@@ -0,0 +1,112 @@
+//! Sleeps that end within a fraction of a millisecond, for stand-ins of short ways and run times.
+//!
+//! The runtime's own timer counts whole milliseconds and rounds up, which would add a millisecond
+//! to each way of one.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::{Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Longest wait of the thread when nobody sleeps.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// Sleeps for a span.
+pub async fn sleep(span: Duration) {
+    if !span.is_zero() {
+        let _ = clock().wake_at(Instant::now() + span).await;
+    }
+}
+
+/// Wakes sleepers from a thread of its own.
+#[derive(Default)]
+struct Clock {
+    sleepers: Mutex<Sleepers>,
+    earlier: Condvar,
+}
+
+#[derive(Default)]
+struct Sleepers {
+    by_time: BinaryHeap<Reverse<Sleeper>>,
+    sequence: u64,
+}
+
+struct Sleeper {
+    at: Instant,
+    sequence: u64,
+    wake: oneshot::Sender<()>,
+}
+
+fn clock() -> &'static Clock {
+    static CLOCK: OnceLock<&'static Clock> = OnceLock::new();
+    CLOCK.get_or_init(|| {
+        let clock: &'static Clock = Box::leak(Box::default());
+        std::thread::spawn(|| clock.run());
+        clock
+    })
+}
+
+impl Clock {
+    fn wake_at(&self, at: Instant) -> oneshot::Receiver<()> {
+        let (wake, woken) = oneshot::channel();
+        let mut sleepers = self.lock();
+        sleepers.sequence += 1;
+        let sequence = sleepers.sequence;
+        sleepers.by_time.push(Reverse(Sleeper { at, sequence, wake }));
+        let is_first = sleepers.by_time.peek().is_some_and(|Reverse(s)| s.sequence == sequence);
+        drop(sleepers);
+        if is_first {
+            self.earlier.notify_one();
+        }
+        woken
+    }
+
+    fn run(&self) {
+        let mut sleepers = self.lock();
+        loop {
+            let left = sleepers.wake_due(Instant::now()).unwrap_or(IDLE);
+            let waited = self.earlier.wait_timeout(sleepers, left);
+            sleepers = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Sleepers> {
+        self.sleepers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Sleepers {
+    /// Wakes all whose time has come; gives the time until the next one.
+    fn wake_due(&mut self, now: Instant) -> Option<Duration> {
+        while let Some(Reverse(next)) = self.by_time.peek() {
+            if next.at > now {
+                return Some(next.at - now);
+            }
+            if let Some(Reverse(due)) = self.by_time.pop() {
+                let _ = due.wake.send(());
+            }
+        }
+        None
+    }
+}
+
+impl PartialEq for Sleeper {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Sleeper {}
+
+impl PartialOrd for Sleeper {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Sleeper {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
+    }
+}
--- a/crates/heathertrack_testkit/src/upstream.rs
+++ b/crates/heathertrack_testkit/src/upstream.rs
@@ -6,6 +6,7 @@
 pub use mode::{Mode, Setting};
 pub use start::{Start, most_at_once};
 
+use crate::precise;
 use crate::server::{Action, Whole, json, serve, status};
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -110,10 +111,7 @@
         let work: Work = serde_json::from_slice(&request.body).unwrap_or_default();
         let span = Duration::from_micros(work.us).mul_f64(setting.slowness);
         let whole = span + Duration::from_micros(setting.latency_us);
-        // Even an empty sleep takes a millisecond.
-        if !whole.is_zero() {
-            tokio::time::sleep(whole).await;
-        }
+        precise::sleep(whole).await;
         let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         json(&serde_json::json!({"task": request.task_key, "path": request.path, "body": body}))
     }
