Take a job's deadline into the timer service without waking it

Cause: each job sent its deadline to the timer service by a channel, which woke the service's task on every job and pushed the job's first task to another thread; and the deadline stayed in the service until it came, long after the job had ended.

Change: subscriptions take their place in an ordered map; the service is woken only for one that is due before all others, and a wait that is dropped leaves the map.

Ended jobs leave nothing behind in the service.

--- a/crates/heathertrack_testkit/examples/measure/arguments.rs
+++ b/crates/heathertrack_testkit/examples/measure/arguments.rs
@@ -14,7 +14,8 @@
     /// part of the capacity that is asked for; by default 0.7 and 0.9 one after the other
     #[argh(option)]
     pub load: Option<f64>,
-    /// only this policy: chosen, random_fifo, power_of_two or central
+    /// only this policy: chosen, random_fifo, power_of_two or central; or latency, for what one
+    /// host adds to a request
     #[argh(option)]
     pub variant: Option<String>,
     /// a fault in the middle of each run: straggler, failing, declared, burst, cancel, impossible,
--- a/crates/heathertrack_testkit/examples/measure/main.rs
+++ b/crates/heathertrack_testkit/examples/measure/main.rs
@@ -24,6 +24,9 @@
     ("central", Some(Trial::Central)),
 ];
 
+/// In place of a policy: only what one host adds to a request.
+const LATENCY: &str = "latency";
+
 #[tokio::main]
 async fn main() {
     let arguments: Arguments = argh::from_env();
@@ -43,9 +46,9 @@
         }
         bench.stop().await;
     }
-    let latency = match &arguments.variant {
+    let latency = match arguments.variant.as_deref() {
+        None | Some(LATENCY) => Some(latency::measure().await),
         Some(_) => None,
-        None => Some(latency::measure().await),
     };
     let report = Report::new(&arguments, runs, latency);
     if arguments.json {
--- a/crates/heathertrackd/src/beats.rs
+++ b/crates/heathertrackd/src/beats.rs
@@ -25,7 +25,7 @@
 }
 
 async fn tell(state: Arc<State>) {
-    let mut ticks = state.timer.every(EVERY).await;
+    let mut ticks = state.timer.every(EVERY);
     let mut round = 0_u32;
     let mut known: HashMap<Host, Standing> = HashMap::new();
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
--- a/crates/heathertrackd/src/claims.rs
+++ b/crates/heathertrackd/src/claims.rs
@@ -217,7 +217,7 @@
 
 /// Deletes claims that are older than any host can accept. Keys sort by their time.
 async fn sweep(state: Arc<State>, store: impl Store) {
-    let mut ticks = state.timer.every(SWEEP_EVERY).await;
+    let mut ticks = state.timer.every(SWEEP_EVERY);
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
         let wall_ms = state.clock.wall_ms();
         let hosts = state.view().workers(state.now());
--- a/crates/heathertrackd/src/gate/lending.rs
+++ b/crates/heathertrackd/src/gate/lending.rs
@@ -27,7 +27,7 @@
 }
 
 async fn lend_and_borrow(state: Arc<State>) {
-    let mut ticks = state.timer.every(TICK).await;
+    let mut ticks = state.timer.every(TICK);
     let mut turn = 0_usize;
     let mut count = 0_u32;
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
--- a/crates/heathertrackd/src/hosts.rs
+++ b/crates/heathertrackd/src/hosts.rs
@@ -21,7 +21,7 @@
 }
 
 async fn follow(state: Arc<State>, hosts: impl HostList) {
-    let mut ticks = state.timer.every(FETCH_EVERY).await;
+    let mut ticks = state.timer.every(FETCH_EVERY);
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
         metrics::store_call("hosts");
         match hosts.fetch().await {
--- a/crates/heathertrackd/src/lists/follow.rs
+++ b/crates/heathertrackd/src/lists/follow.rs
@@ -25,7 +25,7 @@
 }
 
 async fn follow(state: Arc<State>, store: impl Store) {
-    let mut ticks = state.timer.every(OFTEN).await;
+    let mut ticks = state.timer.every(OFTEN);
     let mut round = 0_u32;
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
         let due = round.is_multiple_of(SELDOM_ROUNDS);
--- a/crates/heathertrackd/src/seats.rs
+++ b/crates/heathertrackd/src/seats.rs
@@ -55,7 +55,7 @@
 
 impl<S: Store> Keeping<S> {
     async fn run(mut self) {
-        let mut ticks = self.state.timer.every(EVERY).await;
+        let mut ticks = self.state.timer.every(EVERY);
         let state = self.state.clone();
         loop {
             tokio::select! {
@@ -94,7 +94,7 @@
     /// Gives up all seats as this process stops, once nothing depends on them. A process that
     /// can't wait so long leaves them to whoever proves that it is gone.
     async fn leave(&mut self) {
-        let mut ticks = self.state.timer.every(LEAVE_EVERY).await;
+        let mut ticks = self.state.timer.every(LEAVE_EVERY);
         self.keeper.retire_all();
         self.apply();
         while ticks.next().await.is_some() && !self.state.ended.is_cancelled() {
--- a/crates/heathertrackd/src/tick.rs
+++ b/crates/heathertrackd/src/tick.rs
@@ -12,7 +12,7 @@
 }
 
 async fn run(state: Arc<State>) {
-    let mut ticks = state.timer.every(EVERY).await;
+    let mut ticks = state.timer.every(EVERY);
     while ticks.next().await.is_some() && !state.ended.is_cancelled() {
         if state.dispatcher.core().waiting() > 0 {
             state.dispatcher.pump(&state);
--- a/crates/heathertrackd/src/timer.rs
+++ b/crates/heathertrackd/src/timer.rs
@@ -1,98 +1,94 @@
 //! The timer service that all periodic and delayed work subscribes to.
 
-use futures::StreamExt;
+mod due;
+mod ticks;
+mod until;
+
+pub use ticks::Ticks;
+pub use until::Until;
+
+use crate::state::lock;
+use due::{Due, Entry, Key};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
-use tokio::sync::{mpsc, oneshot};
-use tokio_util::time::DelayQueue;
+use tokio::sync::{Notify, mpsc, oneshot};
 
-/// Subscriptions that may wait to be taken up.
-const PENDING: usize = 4_096;
+/// Longest sleep of the service when nothing is due.
+const IDLE: Duration = Duration::from_secs(60);
 
 /// Handle to the timer service.
+///
+/// A subscription only takes its place in the order; the service is woken for it only if it is
+/// due before all others. A job's deadline so costs no switch between threads.
 #[derive(Clone, Debug)]
 pub struct Timer {
-    requests: mpsc::Sender<Request>,
-}
-
-/// A steady tick.
-#[derive(Debug)]
-pub struct Ticks {
-    ticks: mpsc::Receiver<()>,
+    shared: Arc<Shared>,
 }
 
 #[derive(Debug)]
-enum Request {
-    Every(Duration, mpsc::Sender<()>),
-    At(Instant, oneshot::Sender<()>),
+struct Shared {
+    due: Mutex<Due>,
+    /// Something became due earlier than before, or the last handle is gone.
+    earlier: Arc<Notify>,
 }
 
 impl Timer {
     /// Starts the service; it ends when the last handle is gone.
     pub fn spawn() -> Self {
-        let (requests, inbox) = mpsc::channel(PENDING);
-        tokio::spawn(serve(inbox));
-        Timer { requests }
+        let earlier = Arc::new(Notify::new());
+        let shared = Arc::new(Shared { due: Mutex::default(), earlier: earlier.clone() });
+        tokio::spawn(serve(Arc::downgrade(&shared), earlier));
+        Timer { shared }
     }
 
     /// Ticks at a steady period. A tick that nobody took in time is left out.
-    pub async fn every(&self, period: Duration) -> Ticks {
+    pub fn every(&self, period: Duration) -> Ticks {
         let (sender, ticks) = mpsc::channel(1);
-        let _ = self.requests.send(Request::Every(period, sender)).await;
-        Ticks { ticks }
+        self.add(Instant::now() + period, Entry::Every(period, sender));
+        Ticks::new(ticks)
     }
 
-    /// Waits until an instant.
-    pub async fn until(&self, instant: Instant) {
+    /// Waits until an instant. Dropping the wait takes it out of the service.
+    pub fn until(&self, instant: Instant) -> Until {
         let (sender, due) = oneshot::channel();
-        let _ = self.requests.send(Request::At(instant, sender)).await;
-        let _ = due.await;
+        let key = self.add(instant, Entry::At(sender));
+        Until::new(self.clone(), key, due)
     }
 
     /// Waits for a span.
-    pub async fn wait(&self, span: Duration) {
-        self.until(Instant::now() + span).await;
+    pub fn wait(&self, span: Duration) -> Until {
+        self.until(Instant::now() + span)
     }
-}
 
-impl Ticks {
-    /// Waits for the next tick; `None` once the service has ended.
-    pub async fn next(&mut self) -> Option<()> {
-        self.ticks.recv().await
+    fn add(&self, at: Instant, entry: Entry) -> Key {
+        let (key, is_first) = lock(&self.shared.due).add(at, entry);
+        if is_first {
+            self.shared.earlier.notify_one();
+        }
+        key
     }
-}
 
-async fn serve(mut inbox: mpsc::Receiver<Request>) {
-    let mut queue: DelayQueue<Request> = DelayQueue::new();
-    loop {
-        tokio::select! {
-            request = inbox.recv() => match request {
-                Some(request) => insert(&mut queue, request),
-                None => return,
-            },
-            Some(expired) = queue.next(), if !queue.is_empty() => {
-                fire(&mut queue, expired.into_inner());
-            }
-        }
+    fn remove(&self, key: Key) {
+        lock(&self.shared.due).remove(key);
     }
 }
 
-fn insert(queue: &mut DelayQueue<Request>, request: Request) {
-    match request {
-        Request::Every(period, _) => queue.insert(request, period),
-        Request::At(instant, _) => queue.insert_at(request, instant.into()),
-    };
+impl Drop for Shared {
+    fn drop(&mut self) {
+        self.earlier.notify_one();
+    }
 }
 
-fn fire(queue: &mut DelayQueue<Request>, request: Request) {
-    match request {
-        Request::Every(period, ticks) => {
-            if !ticks.is_closed() {
-                let _ = ticks.try_send(());
-                queue.insert(Request::Every(period, ticks), period);
-            }
-        }
-        Request::At(_, due) => {
-            let _ = due.send(());
+async fn serve(shared: Weak<Shared>, earlier: Arc<Notify>) {
+    loop {
+        let next = match shared.upgrade() {
+            Some(shared) => lock(&shared.due).fire(Instant::now()),
+            None => return,
+        };
+        let wake = next.unwrap_or_else(|| Instant::now() + IDLE);
+        tokio::select! {
+            () = tokio::time::sleep_until(wake.into()) => {}
+            () = earlier.notified() => {}
         }
     }
 }
--- /dev/null
+++ b/crates/heathertrackd/src/timer/ticks.rs
@@ -0,0 +1,18 @@
+use tokio::sync::mpsc;
+
+/// A steady tick.
+#[derive(Debug)]
+pub struct Ticks {
+    ticks: mpsc::Receiver<()>,
+}
+
+impl Ticks {
+    pub(super) fn new(ticks: mpsc::Receiver<()>) -> Self {
+        Ticks { ticks }
+    }
+
+    /// Waits for the next tick; `None` once the service has ended.
+    pub async fn next(&mut self) -> Option<()> {
+        self.ticks.recv().await
+    }
+}
