Ask every host whether an edit is in force; prove three promises further

Cause: `lists apply` asked only the hosts whose operators' addresses were given, so "in force everywhere" said no more than that; asked one after the other, a host that hangs made the others' answers stale. docs/PROMISES.md had three gaps: a host list that lags, two hosts that both dispatch to an upstream, starts per second on processes.

Ruled out: a key under a lease in the store for each host (a call every few seconds each, and nothing while the store is down); heartbeats carry the address for nothing.

Change: heartbeats tell the operators' address, `status` shows it, and `lists apply` asks all hosts that those named know of, together; each that lacks the edit or does not answer is named. The stand-in platform can serve its list late. Tests: an upstream leaves while the list lags 2 s (bound 3 s, as before); both hosts of a data centre, cut from each other, dispatch to the same upstreams (nothing starts twice, at most twice the slots); starts per second over three hosts.

The test that an edit is not called in force while a host lacks it now names another host than the frozen one, demands its name and the count of all hosts; its wait is 8 s instead of 1, as all hosts are asked and the frozen one takes 2 s to be given up. It was red with a wait of 1 s: one host was named that had not been asked again. Red before the change: one of four hosts asked.

--- a/crates/heathertrack/examples/membership.rs
+++ b/crates/heathertrack/examples/membership.rs
@@ -26,7 +26,7 @@
 fn main() {
     let mut view = View::new(home("e1", 1), Duration::from_secs(1));
     view.update([entry("e1"), entry("e2"), entry("e3")]);
-    let heard = Heard { incarnation: Incarnation(2), draining: false };
+    let heard = Heard { incarnation: Incarnation(2), draining: false, operators: None };
     view.hear(&Host::new("e2"), heard, Time::ZERO);
     let workers = view.workers(Time::ZERO);
     println!("taking work: {workers:?}");
--- a/crates/heathertrack/src/membership/view.rs
+++ b/crates/heathertrack/src/membership/view.rs
@@ -2,6 +2,7 @@
 use crate::name::{DataCentre, Host};
 use crate::ticket::{Home, Incarnation};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// An entry host as the platform's list names it.
@@ -24,6 +25,8 @@
     pub incarnation: Incarnation,
     /// Whether it takes no new work.
     pub draining: bool,
+    /// Its address for operators, if it told one.
+    pub operators: Option<SocketAddr>,
 }
 
 /// What is believed of a host.
@@ -102,6 +105,11 @@
         self.heard.get(host).map(|(heard, _)| heard.incarnation)
     }
 
+    /// The address for operators that was last heard of a host.
+    pub fn operators(&self, host: &Host) -> Option<SocketAddr> {
+        self.heard.get(host).and_then(|(heard, _)| heard.operators)
+    }
+
     /// The other listed hosts.
     pub fn peers(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values().filter(|entry| entry.host != self.own.host)
--- a/crates/heathertrack/tests/fuzz/membership.rs
+++ b/crates/heathertrack/tests/fuzz/membership.rs
@@ -81,7 +81,11 @@
         leaving: false,
     };
     view.update([entry]);
-    let heard = |incarnation| Heard { incarnation: Incarnation(incarnation), draining: false };
+    let heard = |incarnation| Heard {
+        incarnation: Incarnation(incarnation),
+        draining: false,
+        operators: None,
+    };
 
     view.hear(&peer, heard(5), Time::ZERO);
     view.hear(&peer, Heard { draining: true, ..heard(4) }, Time::ZERO);
--- a/crates/heathertrack_cli/src/command.rs
+++ b/crates/heathertrack_cli/src/command.rs
@@ -111,8 +111,8 @@
     /// file of a list
     #[argh(positional)]
     pub file: PathBuf,
-    /// operators' address of an entry host to ask whether the edit is in force; may be given more
-    /// than once
+    /// operators' address of an entry host to ask whether the edit is in force, there and at the
+    /// hosts that it knows; may be given more than once
     #[argh(option)]
     pub operators: Vec<SocketAddr>,
     /// seconds to wait until it is in force
--- a/crates/heathertrack_cli/src/lists/apply.rs
+++ b/crates/heathertrack_cli/src/lists/apply.rs
@@ -4,7 +4,7 @@
 use crate::check;
 use crate::command::Apply;
 use crate::exit::Exit;
-use crate::operators;
+use crate::operators::{Fleet, Revision};
 use heathertrack_platform::{Etcd, Fault, Store, Swap, Swapped, Value as Stored};
 use miette::{Report, miette};
 use serde_json::{Value, json};
@@ -119,13 +119,11 @@
     }
     let end = Instant::now() + Duration::from_secs(apply.wait);
     let mut shown = Vec::new();
+    let mut fleet = Fleet::new(apply.operators.iter().copied());
     loop {
-        let hosts = operators::revisions(&apply.operators, list).await;
-        let missing: Vec<String> = hosts
-            .iter()
-            .filter(|h| h.revision < Some(revision))
-            .map(operators::Revision::label)
-            .collect();
+        let hosts = fleet.revisions(list).await;
+        let missing: Vec<String> =
+            hosts.iter().filter(|h| h.revision < Some(revision)).map(Revision::label).collect();
         if !json && missing != shown && !missing.is_empty() {
             println!("not yet in force at {}", missing.join(", "));
             shown.clone_from(&missing);
--- a/crates/heathertrack_testkit/src/platform.rs
+++ b/crates/heathertrack_testkit/src/platform.rs
@@ -2,12 +2,13 @@
 
 mod fault;
 mod keys;
+mod published;
 
 pub use fault::Fault;
 pub use keys::Keys;
+pub use published::Published;
 
 use crate::server::{Action, Whole, json, serve, status, tagged};
-use heathertrack_wire::host_list::HostList;
 use heathertrack_wire::store::{RangeRequest, TxnRequest};
 use hyper::StatusCode;
 use std::collections::BTreeMap;
@@ -27,9 +28,9 @@
     keys: Keys,
     /// The keys as they were when reads went stale.
     stale: Option<Keys>,
-    hosts: HostList,
+    hosts: Published,
     /// Lists for single hosts, who reach their peers through relays.
-    hosts_for: BTreeMap<String, HostList>,
+    hosts_for: BTreeMap<String, Published>,
     fault: Fault,
     calls: u64,
 }
@@ -66,7 +67,8 @@
             return Action::Close;
         }
         let inner = self.lock();
-        let list = inner.hosts_for.get(name).unwrap_or(&inner.hosts);
+        let published = inner.hosts_for.get(name).unwrap_or(&inner.hosts);
+        let list = published.as_of(Duration::from_millis(fault.hosts_lag_ms));
         tagged(list, &format!("\"{}\"", list.revision), known_tag)
     }
 
@@ -107,11 +109,12 @@
             "calls" => json(&inner.calls),
             _ => match (name.strip_prefix("hosts"), serde_json::from_slice(&request.body)) {
                 (Some(""), Ok(hosts)) => {
-                    inner.hosts = hosts;
+                    inner.hosts.publish(hosts);
                     status(StatusCode::OK)
                 }
                 (Some(rest), Ok(hosts)) => {
-                    inner.hosts_for.insert(rest.trim_start_matches('/').to_owned(), hosts);
+                    let name = rest.trim_start_matches('/').to_owned();
+                    inner.hosts_for.entry(name).or_default().publish(hosts);
                     status(StatusCode::OK)
                 }
                 _ => status(StatusCode::BAD_REQUEST),
--- a/crates/heathertrack_testkit/src/platform/fault.rs
+++ b/crates/heathertrack_testkit/src/platform/fault.rs
@@ -8,6 +8,8 @@
     pub down: bool,
     /// The host list does too.
     pub hosts_down: bool,
+    /// The host list is served as it was so long ago, in milliseconds.
+    pub hosts_lag_ms: u64,
     /// Every call takes this much longer, in milliseconds.
     pub slow_ms: u64,
     /// Calls to the store take effect, but their answers are lost.
--- /dev/null
+++ b/crates/heathertrack_testkit/src/platform/published.rs
@@ -0,0 +1,24 @@
+use heathertrack_wire::host_list::HostList;
+use std::time::{Duration, Instant};
+
+/// A host list with its former states, so that it can be served late.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    latest: HostList,
+    /// Replaced states, the oldest first, with the moment of their replacement.
+    former: Vec<(Instant, HostList)>,
+}
+
+impl Published {
+    /// Replaces the list.
+    pub fn publish(&mut self, list: HostList) {
+        let replaced = std::mem::replace(&mut self.latest, list);
+        self.former.push((Instant::now(), replaced));
+    }
+
+    /// The list as it was `lag` ago.
+    pub fn as_of(&self, lag: Duration) -> &HostList {
+        let still_shown = |(replaced, _): &&(Instant, HostList)| replaced.elapsed() < lag;
+        self.former.iter().find(still_shown).map_or(&self.latest, |(_, list)| list)
+    }
+}
--- a/crates/heathertrack_testkit/tests/allowance.rs
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -3,7 +3,7 @@
 use heathertrack_testkit::client::Answer;
 use heathertrack_testkit::fixture::{Cluster, Load, Plan};
 use heathertrack_testkit::upstream::most_at_once;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
 async fn submit_everywhere(cluster: &Cluster, jobs: usize, tasks: usize, ms: u64) -> Vec<Answer> {
@@ -61,6 +61,26 @@
     assert!((4..=6).contains(&most), "{most} at once");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_per_second_stay_within_the_allowance_over_all_hosts() {
+    const RATE: f64 = 40.0;
+    // The fixture's burst is what may start in one second.
+    const BURST: f64 = RATE;
+    let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(3).upstreams(&[1.0; 3]);
+    let cluster = Cluster::start(plan.allowance("workshop", 500, RATE)).await;
+    let began = Instant::now();
+
+    let load = Load::start(&cluster, "kadriorg-crafts", 20, 1);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let oracle = load.end().await;
+
+    let most = BURST + RATE * began.elapsed().as_secs_f64();
+    cluster.assert_kept(&oracle).await;
+    let starts = cluster.starts().await.len();
+    assert!(starts as f64 <= most, "{starts} starts, at most {most}");
+    assert!(starts as f64 > BURST, "the load asked for more than a burst: {starts}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn starts_beyond_the_allowance_are_refused_at_once_or_wait() {
     let plan = Plan::default().data_centres(&["ee-north-1"]).hosts(2).upstreams(&[1.0]);
--- a/crates/heathertrack_testkit/tests/cut.rs
+++ b/crates/heathertrack_testkit/tests/cut.rs
@@ -2,8 +2,12 @@
 
 use heathertrack_testkit::client::mint;
 use heathertrack_testkit::fixture::{Cluster, Load, Plan, customers, eventually};
+use heathertrack_testkit::upstream::most_at_once;
 use std::time::Duration;
 
+/// Slots of each upstream.
+const SLOTS: usize = 8;
+
 /// Whether a name is that of a host of the first data centre.
 fn is_first(name: &str) -> bool {
     name == "e1" || name == "e2"
@@ -37,6 +41,36 @@
     cluster.wait_ready().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn two_hosts_that_both_dispatch_to_an_upstream_start_nothing_twice() {
+    let plan = Plan::default().data_centres(&["ee-north-1"]).upstreams(&[1.0, 1.0]).relays();
+    let cluster = Cluster::start(plan).await;
+    cluster.cut(|_, to| !Cluster::is_platform(to));
+    for host in &cluster.hosts {
+        eventually("each host serves every upstream", || async {
+            let status = host.status().await.expect("the host answers");
+            status.upstreams.len() == cluster.workers.len()
+        })
+        .await;
+    }
+
+    let load = Load::start(&cluster, "pirita-souvenirs", 40, 20);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let apart = cluster.starts().await;
+    cluster.mend();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let oracle = load.end().await;
+
+    cluster.assert_kept(&oracle).await;
+    assert!(!apart.is_empty(), "both served on while they were apart");
+    for worker in &cluster.workers {
+        // Each host sends at most as many as there are slots.
+        let most = most_at_once(&worker.starts().await);
+        assert!(most <= 2 * SLOTS, "{most} at once");
+    }
+    cluster.wait_ready().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_centre_cut_from_the_platform_gets_edits_from_the_others() {
     let plan = Plan::default().relays();
--- a/crates/heathertrack_testkit/tests/operators.rs
+++ b/crates/heathertrack_testkit/tests/operators.rs
@@ -23,7 +23,7 @@
 }
 
 fn write(name: &str, cluster: &Cluster, value: &Value) -> PathBuf {
-    let file = std::env::temp_dir().join(format!("{name}-{}.json", cluster.platform.port()));
+    let file = std::env::temp_dir().join(format!("{name}-{}.json", cluster.platform));
     std::fs::write(&file, value.to_string()).expect("a file can be written");
     file
 }
@@ -125,14 +125,35 @@
     let cluster = Cluster::start(Plan::default()).await;
     let edit = with_worth(&show(&cluster, "plans").await, 3.0);
     let file = write("lacking", &cluster, &edit).display().to_string();
-    let operators = cluster.hosts[1].operators.to_string();
+    // Only one host is named; it knows the others.
+    let operators = cluster.hosts[0].operators.to_string();
 
     cluster.hosts[1].process.freeze();
-    let waited = ["apply", &file, "--operators", &operators, "--wait", "1"];
+    let waited = ["apply", &file, "--operators", &operators, "--wait", "8"];
     let output = lists(&cluster, &waited).await;
     cluster.hosts[1].process.thaw();
 
     let summary: Value = serde_json::from_slice(&output.stdout).expect("it prints JSON");
     assert_eq!(output.status.code(), Some(3));
-    assert_eq!(summary["missing"].as_array().map(Vec::len), Some(1));
+    assert_eq!(summary["missing"], json!([format!("{} (does not answer)", cluster.hosts[1].name)]));
+    assert_eq!(summary["asked"].as_u64(), Some(cluster.hosts.len() as u64));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_host_that_answers_is_enough_to_ask_all() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let edit = with_worth(&show(&cluster, "plans").await, 4.0);
+    let file = write("everywhere", &cluster, &edit).display().to_string();
+    let operators = cluster.hosts[2].operators.to_string();
+
+    let output =
+        lists(&cluster, &["apply", &file, "--operators", &operators, "--wait", "60"]).await;
+
+    let summary: Value = serde_json::from_slice(&output.stdout).expect("it prints JSON");
+    assert_eq!(output.status.code(), Some(0), "{summary}");
+    assert_eq!(summary["asked"].as_u64(), Some(cluster.hosts.len() as u64));
+    for host in &cluster.hosts {
+        let status = host.status().await.expect("the host answers");
+        assert_eq!(Some(status.plans.revision), summary["revision"].as_u64());
+    }
 }
--- a/crates/heathertrack_testkit/tests/upstreams.rs
+++ b/crates/heathertrack_testkit/tests/upstreams.rs
@@ -3,6 +3,7 @@
 use heathertrack_testkit::client::{Client, mint};
 use heathertrack_testkit::fixture::{Cluster, Plan, eventually};
 use heathertrack_testkit::oracle::Oracle;
+use heathertrack_testkit::platform::Fault;
 use heathertrack_testkit::upstream::{Mode, Setting};
 use std::time::Duration;
 
@@ -13,9 +14,13 @@
     Plan::default().data_centres(&["ee-north-1"]).upstreams(&[1.0, 1.0, 1.0])
 }
 
+/// How far the platform's list lags behind.
+const LIST_LAG_MS: u64 = 2_000;
+
 #[tokio::test(flavor = "multi_thread")]
-async fn a_leaving_upstream_ends_its_work_and_gets_no_more() {
+async fn a_leaving_upstream_ends_its_work_and_gets_no_more_though_the_list_lags() {
     let mut cluster = Cluster::start(one_data_centre()).await;
+    cluster.platform_fault(Fault { hosts_lag_ms: LIST_LAG_MS, ..Fault::default() }).await;
     let caller = cluster.caller("pirita-souvenirs");
     let host = cluster.hosts[0].callers;
     let job = cluster.job(60, 400);
--- a/crates/heathertrack_wire/src/frame/beat.rs
+++ b/crates/heathertrack_wire/src/frame/beat.rs
@@ -1,5 +1,6 @@
 use super::{Home, Load};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// A heartbeat, and the answer to one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -8,6 +9,8 @@
     pub from: Home,
     /// Whether it takes no new work.
     pub draining: bool,
+    /// Its address for operators.
+    pub operators: SocketAddr,
     /// Revision of the plans that it has in force.
     pub plans: u64,
     /// Revision of the allowances that it has in force.
--- a/crates/heathertrack_wire/src/status.rs
+++ b/crates/heathertrack_wire/src/status.rs
@@ -1,6 +1,7 @@
 //! What a host tells operators of itself.
 
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// The status of one entry host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -53,6 +54,8 @@
     pub data_centre: String,
     /// Address of its peers' listener.
     pub address: String,
+    /// Its address for operators, if it was heard.
+    pub operators: Option<SocketAddr>,
     /// `alive`, `draining` or `silent`.
     pub state: String,
 }
--- a/crates/heathertrackd/src/beats.rs
+++ b/crates/heathertrackd/src/beats.rs
@@ -84,7 +84,11 @@
 pub fn hear(state: &Arc<State>, beat: &Beat) {
     let from = Home::from(&beat.from);
     let now = state.now();
-    let heard = Heard { incarnation: Incarnation(beat.from.incarnation), draining: beat.draining };
+    let heard = Heard {
+        incarnation: Incarnation(beat.from.incarnation),
+        draining: beat.draining,
+        operators: Some(beat.operators),
+    };
     state.view().hear(&from.host, heard, now);
     if let Some(load) = &beat.load
         && !beat.draining
@@ -112,6 +116,7 @@
     Beat {
         from: (&state.home).into(),
         draining: state.phase() >= Phase::Draining,
+        operators: state.settings.listen.operators,
         plans: state.lists.plans.revision(),
         allowances: state.lists.allowances.revision(),
         seats: state.seats.seen(),
--- a/crates/heathertrackd/src/status.rs
+++ b/crates/heathertrackd/src/status.rs
@@ -41,6 +41,7 @@
         name: entry.host.to_string(),
         data_centre: entry.data_centre.to_string(),
         address: entry.address.clone(),
+        operators: view.operators(&entry.host),
         state: match view.state(&entry.host, now) {
             Believed::Alive => "alive",
             Believed::Draining => "draining",
