Show the last edits of a list

Cause: operators who race each other, or who wonder which edit changed a plan, could see only the list as it is now.

Ruled out: a log of edits of our own in the store; the store keeps former values by revision anyway (the published API reads a key as of a revision), until it compacts them.

Change: `heathertrack lists history plans|allowances [--last N]` walks back through the store's former values and prints revision, time (from the edit's UUIDv7) and changes of each. The Store trait has a read as of a revision; the stand-in keeps the last 100 values of each key.

Test: two edits and the first list come back with what each changed.

--- a/crates/heathertrack_cli/src/command.rs
+++ b/crates/heathertrack_cli/src/command.rs
@@ -83,6 +83,7 @@
     Show(Show),
     Diff(Diff),
     Apply(Apply),
+    History(History),
 }
 
 /// Print a list with its revision, ready to be edited and applied.
@@ -120,6 +121,18 @@
     pub wait: u64,
 }
 
+/// Print the last edits of a list, the newest first, as far as the store keeps them.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "history")]
+pub struct History {
+    /// plans or allowances
+    #[argh(positional)]
+    pub list: String,
+    /// how many edits
+    #[argh(option, default = "10")]
+    pub last: usize,
+}
+
 /// Show the state of entry hosts: lists in force, peers, upstreams, customers' shares.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "status")]
--- a/crates/heathertrack_cli/src/lists.rs
+++ b/crates/heathertrack_cli/src/lists.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod diff;
 mod document;
+mod history;
 
 pub use document::Document;
 
@@ -36,6 +37,7 @@
             diff::print(&diff::between(&current, &document.value), json);
             Ok(Exit::Done)
         }
+        ListsWhat::History(history) => history::run(&store, &command.prefix, history, json).await,
         ListsWhat::Apply(apply) => apply::run(&store, &command.prefix, apply, json).await,
     }
 }
--- /dev/null
+++ b/crates/heathertrack_cli/src/lists/history.rs
@@ -0,0 +1,88 @@
+//! Shows the last edits of a list.
+
+use super::diff::{self, Change};
+use super::{key, read, with_revision};
+use crate::command::History;
+use crate::exit::Exit;
+use heathertrack_platform::{Etcd, Fault, Store, Value as Stored};
+use miette::Report;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+/// One edit.
+#[derive(Debug)]
+struct Edit {
+    revision: u64,
+    /// When it was written, in Unix milliseconds; `None` if its author left no name of the edit.
+    written_ms: Option<u64>,
+    changes: Vec<Change>,
+}
+
+/// Runs the command.
+pub async fn run(
+    store: &Etcd,
+    prefix: &str,
+    command: &History,
+    json: bool,
+) -> Result<Exit, Report> {
+    let key = key(prefix, &command.list);
+    let mut next = read(store, prefix, &command.list).await?;
+    let mut edits = Vec::new();
+    while let Some(stored) = next.take()
+        && edits.len() < command.last
+    {
+        let before = match before(store, &key, &stored).await {
+            Ok(before) => before,
+            Err(fault) => {
+                eprintln!("revision {} came of what is not known: {fault}", stored.revision);
+                break;
+            }
+        };
+        edits.push(edit(&stored, before.as_ref(), &command.list));
+        next = before;
+    }
+    if json {
+        println!("{}", Value::Array(edits.iter().map(as_json).collect()));
+    } else {
+        edits.iter().for_each(print);
+    }
+    Ok(Exit::Done)
+}
+
+/// What an edit replaced; `None` if the list began with it.
+async fn before(store: &Etcd, key: &str, stored: &Stored) -> Result<Option<Stored>, Fault> {
+    match stored.revision.checked_sub(1) {
+        None | Some(0) => Ok(None),
+        Some(revision) => store.get_at(key, revision).await,
+    }
+}
+
+fn edit(stored: &Stored, before: Option<&Stored>, list: &str) -> Edit {
+    let value: Value = serde_json::from_slice(&stored.data).unwrap_or_default();
+    let name = value["edit"].as_str().and_then(|text| Uuid::try_parse(text).ok());
+    let written = name.and_then(|name| name.get_timestamp());
+    Edit {
+        revision: stored.revision,
+        written_ms: written.map(|at| {
+            let (seconds, nanos) = at.to_unix();
+            seconds * 1_000 + u64::from(nanos) / 1_000_000
+        }),
+        changes: diff::between(&with_revision(before, list), &with_revision(Some(stored), list)),
+    }
+}
+
+fn as_json(edit: &Edit) -> Value {
+    json!({
+        "revision": edit.revision,
+        "written_ms": edit.written_ms,
+        "changes": diff::as_json(&edit.changes),
+    })
+}
+
+fn print(edit: &Edit) {
+    match edit.written_ms {
+        Some(ms) => println!("revision {}, written at {ms} ms since 1970", edit.revision),
+        None => println!("revision {}", edit.revision),
+    }
+    diff::print(&edit.changes, false);
+}
--- a/crates/heathertrack_platform/src/etcd.rs
+++ b/crates/heathertrack_platform/src/etcd.rs
@@ -80,6 +80,13 @@
         response.kvs.first().map(value).transpose()
     }
 
+    async fn get_at(&self, key: &str, revision: u64) -> Result<Option<Value>, Fault> {
+        let revision = Number(revision as i64);
+        let request = RangeRequest { key: key.into(), revision, ..Default::default() };
+        let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
+        response.kvs.first().map(value).transpose()
+    }
+
     async fn list(&self, prefix: &str) -> Result<Vec<Value>, Fault> {
         let range_end = Some(end_of_prefix(prefix));
         let request = RangeRequest { key: prefix.into(), range_end, ..Default::default() };
--- a/crates/heathertrack_platform/src/store.rs
+++ b/crates/heathertrack_platform/src/store.rs
@@ -45,6 +45,13 @@
         revision: u64,
     ) -> impl Future<Output = Result<Option<Value>, Fault>> + Send;
 
+    /// Reads a key as it was at an earlier revision, if the store still knows.
+    fn get_at(
+        &self,
+        key: &str,
+        revision: u64,
+    ) -> impl Future<Output = Result<Option<Value>, Fault>> + Send;
+
     /// Reads all keys that start with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Value>, Fault>> + Send;
 
--- a/crates/heathertrack_testkit/src/platform/keys.rs
+++ b/crates/heathertrack_testkit/src/platform/keys.rs
@@ -4,20 +4,40 @@
 };
 use std::collections::BTreeMap;
 
+/// Former values kept of each key.
+const MOST_FORMER: usize = 100;
+
 /// Keys and values with revisions.
 #[derive(Clone, Debug, Default)]
 pub struct Keys {
     pairs: BTreeMap<Vec<u8>, KeyValue>,
+    /// Former values of each key, the oldest first.
+    former: BTreeMap<Vec<u8>, Vec<KeyValue>>,
     revision: i64,
 }
 
 impl Keys {
     /// Reads a key or a range of keys.
     pub fn range(&self, request: &RangeRequest) -> RangeResponse {
-        let newer = |pair: &KeyValue| pair.mod_revision >= request.min_mod_revision;
-        let pairs = self.pairs.iter().filter(|(key, pair)| within(request, key) && newer(pair));
-        let kvs = pairs.map(|(_, pair)| pair.clone());
-        RangeResponse { header: self.header(), kvs: kvs.collect() }
+        let newer = |pair: &&KeyValue| pair.mod_revision >= request.min_mod_revision;
+        let pairs = self.pairs.iter().filter(|(key, _)| within(request, key));
+        let pairs = pairs.filter_map(|(key, pair)| self.as_of(request.revision, key, pair));
+        let kvs = pairs.filter(newer).cloned().collect();
+        RangeResponse { header: self.header(), kvs }
+    }
+
+    /// A key's value as of a revision; zero stands for now.
+    fn as_of<'a>(
+        &'a self,
+        revision: Number,
+        key: &[u8],
+        now: &'a KeyValue,
+    ) -> Option<&'a KeyValue> {
+        if revision.is_default() || now.mod_revision <= revision {
+            return Some(now);
+        }
+        let former = self.former.get(key)?;
+        former.iter().rev().find(|pair| pair.mod_revision <= revision)
     }
 
     /// Runs a transaction; all its writes share one revision.
@@ -56,6 +76,12 @@
     fn put(&mut self, put: &PutRequest) {
         let revision = Number(self.revision);
         let fresh = || KeyValue { create_revision: revision, ..KeyValue::default() };
+        if let Some(pair) = self.pairs.get(&put.key.0) {
+            let former = self.former.entry(put.key.0.clone()).or_default();
+            former.push(pair.clone());
+            let surplus = former.len().saturating_sub(MOST_FORMER);
+            former.drain(..surplus);
+        }
         let pair = self.pairs.entry(put.key.0.clone()).or_insert_with(fresh);
         pair.key = put.key.clone();
         pair.value = put.value.clone();
--- a/crates/heathertrack_testkit/tests/operators.rs
+++ b/crates/heathertrack_testkit/tests/operators.rs
@@ -157,3 +157,24 @@
         assert_eq!(Some(status.plans.revision), summary["revision"].as_u64());
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_history_of_a_list_tells_what_each_edit_changed() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let first = show(&cluster, "plans").await;
+    for (name, worth) in [("history-1", 5.0), ("history-2", 6.0)] {
+        let edit = with_worth(&show(&cluster, "plans").await, worth);
+        assert_eq!(apply(&cluster, &write(name, &cluster, &edit)).await.status.code(), Some(0));
+    }
+
+    let output = lists(&cluster, &["history", "plans"]).await;
+
+    let history: Value = serde_json::from_slice(&output.stdout).expect("it prints JSON");
+    let history = history.as_array().expect("it prints a list");
+    let worth = |edit: usize, side: &str| history[edit]["changes"][0][side]["worth"].as_f64();
+    assert_eq!(history.len(), 3);
+    assert_eq!((worth(0, "before"), worth(0, "after")), (Some(5.0), Some(6.0)));
+    assert_eq!((worth(1, "before"), worth(1, "after")), (Some(1.0), Some(5.0)));
+    assert!(history[0]["written_ms"].is_u64(), "{history:?}");
+    assert_eq!(history[2]["revision"], first["revision"]);
+}
--- a/crates/heathertrack_wire/src/store/range.rs
+++ b/crates/heathertrack_wire/src/store/range.rs
@@ -10,6 +10,9 @@
     /// The first key past the range; empty for a single key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub range_end: Option<Bytes64>,
+    /// Revision of the store at which to read; zero for now.
+    #[serde(default, skip_serializing_if = "Number::is_default")]
+    pub revision: Number,
     /// Keys written before this revision are left out; zero for none.
     #[serde(default, skip_serializing_if = "Number::is_default")]
     pub min_mod_revision: Number,
