Measure two policies at a time, and how soon edits are in force

Cause: the default run took 2 min 31 s, its target is 90 s; most of it is waiting for the baselines' queues to run dry. No program measured the time until an edit is in force.

Ruled out: cutting the baselines off (their unfinished jobs go on in the hosts and would disturb the next run), shorter runs (p99 would rest on four jobs).

Change: the default run starts itself once for each policy, two beside each other; each process has counters of its own. `--example edits` edits the plans of six real hosts, with parts broken, and prints the time until the edit is in force on all.

--- /dev/null
+++ b/crates/heathertrack_testkit/examples/edits.rs
@@ -0,0 +1,112 @@
+//! Measures how soon an edit of a list is in force on every entry host, with parts broken.
+//!
+//! Real processes: three data centres of two hosts each, and the stand-in platform.
+
+use argh::FromArgs;
+use heathertrack_testkit::fixture::{Cluster, Plan, customers};
+use heathertrack_testkit::platform::Fault;
+use std::time::{Duration, Instant};
+
+/// Measures how soon an edit is in force everywhere.
+#[derive(FromArgs)]
+struct Arguments {
+    /// edits in each condition
+    #[argh(option, default = "20")]
+    edits: usize,
+}
+
+/// Time within which an edit must be in force, by the users' target.
+const TARGET: Duration = Duration::from_secs(4);
+/// Pause between two looks at the hosts.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// After this long an edit counts as lost.
+const GIVE_UP: Duration = Duration::from_secs(30);
+/// Spreads the edits over the periods at which the hosts read.
+const STEP: Duration = Duration::from_millis(137);
+
+/// What is broken while the edits are made.
+#[derive(Clone, Copy, Debug)]
+enum Condition {
+    Nothing,
+    /// The first data centre can't reach the platform, but the others can reach it.
+    CutFromPlatform,
+    /// One host of the first data centre is cut off from the platform and its peers see it alive.
+    OneHostCutFromPlatform,
+    /// Every call to the platform takes 300 ms.
+    SlowPlatform,
+    /// One host of each data centre is killed.
+    HostsKilled,
+}
+
+const CONDITIONS: [(&str, Condition); 5] = [
+    ("nothing broken", Condition::Nothing),
+    ("one data centre cut from the platform", Condition::CutFromPlatform),
+    ("one host of each data centre cut from the platform", Condition::OneHostCutFromPlatform),
+    ("every call to the platform takes 300 ms", Condition::SlowPlatform),
+    ("one host of each data centre killed", Condition::HostsKilled),
+];
+
+#[tokio::main]
+async fn main() {
+    let arguments: Arguments = argh::from_env();
+    println!("{} edits each; target {} s", arguments.edits, TARGET.as_secs());
+    for (name, condition) in CONDITIONS {
+        let times = measure(condition, arguments.edits).await;
+        let late = times.iter().filter(|time| **time > TARGET).count();
+        let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize].as_millis();
+        println!("{name}: p50 {} ms, longest {} ms, {late} over the target", at(0.5), at(1.0));
+    }
+}
+
+/// Times until each edit was in force on every host that runs, the shortest first.
+async fn measure(condition: Condition, edits: usize) -> Vec<Duration> {
+    let plan = Plan::default().data_centres(&["dc-1", "dc-2", "dc-3"]).upstreams(&[1.0]).relays();
+    let listed = plan.customers.clone();
+    let mut cluster = Cluster::start(plan).await;
+    break_something(&mut cluster, condition).await;
+    let mut times = Vec::with_capacity(edits);
+    for number in 0..edits {
+        tokio::time::sleep(STEP).await;
+        let before = revision(&cluster).await;
+        let mut edited = listed.clone();
+        edited[0].2 = 1.0 + number as f64;
+        let began = Instant::now();
+        cluster.write_list("plans", &customers(&edited)).await;
+        while revision(&cluster).await <= before && began.elapsed() < GIVE_UP {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        times.push(began.elapsed());
+    }
+    times.sort_unstable();
+    times
+}
+
+async fn break_something(cluster: &mut Cluster, condition: Condition) {
+    match condition {
+        Condition::Nothing => {}
+        Condition::CutFromPlatform => {
+            cluster.cut(|from, to| Cluster::is_platform(to) && (from == "e1" || from == "e2"));
+        }
+        Condition::OneHostCutFromPlatform => cluster.cut(|from, to| {
+            Cluster::is_platform(to) && (from == "e1" || from == "e3" || from == "e5")
+        }),
+        Condition::SlowPlatform => {
+            cluster.platform_fault(Fault { slow_ms: 300, ..Fault::default() }).await;
+        }
+        Condition::HostsKilled => {
+            for index in [4, 2, 0] {
+                cluster.hosts.remove(index);
+            }
+        }
+    }
+}
+
+/// Lowest revision of the plans in force on any host.
+async fn revision(cluster: &Cluster) -> u64 {
+    let mut lowest = u64::MAX;
+    for host in &cluster.hosts {
+        let status = host.status().await.expect("a host that runs answers");
+        lowest = lowest.min(status.plans.revision);
+    }
+    lowest
+}
--- a/crates/heathertrack_testkit/examples/measure/figures.rs
+++ b/crates/heathertrack_testkit/examples/measure/figures.rs
@@ -2,7 +2,7 @@
 use crate::latency::Latency;
 use crate::messages::Messages;
 use crate::workload::{FLOODER, WORTHS};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -33,7 +33,7 @@
 }
 
 /// The figures of one run.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Figures {
     pub variant: String,
     pub load: f64,
@@ -61,11 +61,11 @@
 }
 
 /// One object with all figures.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Report {
     seed: u64,
     setup: String,
-    runs: Vec<Figures>,
+    pub runs: Vec<Figures>,
     pub latency: Option<Latency>,
 }
 
--- a/crates/heathertrack_testkit/examples/measure/latency.rs
+++ b/crates/heathertrack_testkit/examples/measure/latency.rs
@@ -1,7 +1,7 @@
 use crate::figures::{percentile, sorted};
 use heathertrack_testkit::client::Client;
 use heathertrack_testkit::fixture::{Cluster, Plan};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 const TASKS: usize = 40;
 
 /// What one host adds to a request and how many starts it manages, as a process of its own.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Latency {
     pub direct_us_p50: f64,
     pub through_us_p50: f64,
--- a/crates/heathertrack_testkit/examples/measure/main.rs
+++ b/crates/heathertrack_testkit/examples/measure/main.rs
@@ -2,6 +2,7 @@
 //! load: entry hosts' own code, stand-in upstreams of unequal speed whose tasks take time and no
 //! processor.
 
+mod apart;
 mod arguments;
 mod bench;
 mod fault;
@@ -14,14 +15,15 @@
 use arguments::Arguments;
 use bench::Bench;
 use figures::{Figures, Report};
+use futures::future::join_all;
 use heathertrackd::Trial;
 
 /// The policies that are measured: the chosen one, and those to hold it against.
 const VARIANTS: [(&str, Option<Trial>); 4] = [
     ("chosen", None),
     ("random_fifo", Some(Trial::RandomFifo)),
-    ("power_of_two", Some(Trial::PowerOfTwo)),
     ("central", Some(Trial::Central)),
+    ("power_of_two", Some(Trial::PowerOfTwo)),
 ];
 
 /// In place of a policy: only what one host adds to a request.
@@ -30,21 +32,12 @@
 #[tokio::main]
 async fn main() {
     let arguments: Arguments = argh::from_env();
-    let loads = arguments.load.map_or_else(|| vec![0.7, 0.9], |load| vec![load]);
-    let mut runs: Vec<Figures> = Vec::new();
-    for (name, trial) in VARIANTS {
-        if arguments.variant.as_ref().is_some_and(|wanted| wanted != name) {
-            continue;
-        }
-        let bench = Bench::start(&arguments, trial).await;
-        for load in &loads {
-            let figures = bench.run(name, *load).await;
-            if !arguments.json {
-                println!("{figures}");
-            }
-            runs.push(figures);
-        }
-        bench.stop().await;
+    let runs = match arguments.variant.as_deref() {
+        None => all(&arguments).await,
+        Some(name) => one(&arguments, name).await,
+    };
+    if !arguments.json {
+        runs.iter().for_each(|figures| println!("{figures}"));
     }
     let latency = match arguments.variant.as_deref() {
         None | Some(LATENCY) => Some(latency::measure().await),
@@ -57,3 +50,28 @@
         report.latency.iter().for_each(|latency| println!("{latency}"));
     }
 }
+
+/// Measures every policy, two at a time: most of it is waiting.
+async fn all(arguments: &Arguments) -> Vec<Figures> {
+    let mut runs = Vec::new();
+    for pair in VARIANTS.chunks(2) {
+        let beside = pair.iter().map(|(name, _)| apart::run(arguments, name));
+        runs.extend(join_all(beside).await.into_iter().flatten());
+    }
+    runs
+}
+
+/// Measures one policy in this process.
+async fn one(arguments: &Arguments, name: &str) -> Vec<Figures> {
+    let Some((name, trial)) = VARIANTS.iter().find(|(known, _)| *known == name) else {
+        return Vec::new();
+    };
+    let loads = arguments.load.map_or_else(|| vec![0.7, 0.9], |load| vec![load]);
+    let mut runs = Vec::new();
+    let bench = Bench::start(arguments, *trial).await;
+    for load in loads {
+        runs.push(bench.run(name, load).await);
+    }
+    bench.stop().await;
+    runs
+}
