Measure a host whose records are full

Cause: docs/CAPACITY.md worked out 121 MB at the bound of records and had not run it. Change: the capacity program fills one host to its bound of 80,000 records (`--only bound`).

--- a/crates/heathertrack_testkit/examples/capacity.rs
+++ b/crates/heathertrack_testkit/examples/capacity.rs
@@ -12,6 +12,8 @@
 /// Time for a new cluster to come to rest, and time measured.
 const REST: Duration = Duration::from_secs(3);
 const SPAN: Duration = Duration::from_secs(8);
+/// Longest time for the records of a host to be filled; they are kept for two minutes.
+const LONGEST_FILL: Duration = Duration::from_secs(100);
 /// Callers at once when the cost of tasks is measured.
 const CALLERS: usize = 16;
 
@@ -109,6 +111,43 @@
     );
 }
 
+/// Fills the records of one host to their bound and shows what it then holds, and says.
+async fn bound() {
+    let plan = Plan::default().data_centres(&["dc-1"]).hosts(1).upstreams(&[1.0; 8]);
+    let cluster = Cluster::start(plan.allowance("wholesale", 100_000, 900_000.0)).await;
+    let host = cluster.hosts[0].callers;
+    let began = Instant::now();
+    let mut callers = JoinSet::new();
+    for _ in 0..4 * CALLERS {
+        let caller = cluster.caller("pirita-souvenirs");
+        let job = cluster.job(1, 0);
+        callers.spawn(async move {
+            let ticket = caller.ticket(&host).await;
+            let mut done = 0;
+            loop {
+                let answer = caller.submit(&host, Some(&format!("{ticket}/{done}")), &job).await;
+                if answer.status != 200 || began.elapsed() > LONGEST_FILL {
+                    return (done, answer);
+                }
+                done += 1;
+            }
+        });
+    }
+    let ended = callers.join_all().await;
+    let jobs: usize = ended.iter().map(|(done, _)| done).sum();
+    let truthful = ended.iter().filter(|(_, answer)| answer.says_not_run()).count();
+    let records = cluster.hosts[0].status().await.map_or(0, |status| status.records);
+    println!(
+        "records filled: {jobs} jobs answered in {:.0} s, {records} recorded, {:.1} MB; then {} of \
+         {} callers were refused with not_run (status {})",
+        began.elapsed().as_secs_f64(),
+        memory(&cluster),
+        truthful,
+        ended.len(),
+        ended.first().map_or(0, |(_, answer)| answer.status)
+    );
+}
+
 /// Measures calls to the store and the time of jobs under caller-minted keys.
 async fn keys(callers: usize) {
     let plan = Plan::default().data_centres(&["dc-1"]).hosts(4).upstreams(&[1.0; 8]);
@@ -146,7 +185,7 @@
 /// Measures what a node costs.
 #[derive(FromArgs)]
 struct Arguments {
-    /// only this part: hosts, data_centres, upstreams, customers, jobs or keys
+    /// only this part: hosts, data_centres, upstreams, customers, jobs, keys or bound
     #[argh(option)]
     only: Option<String>,
 }
@@ -184,6 +223,9 @@
             busy(tasks).await;
         }
     }
+    if wanted("bound") {
+        bound().await;
+    }
     if wanted("keys") {
         for callers in [1, 16, 128] {
             keys(callers).await;
