Split the dispatcher, its fuzz test, the test cluster and the bench by their jobs

Change: what leaves the queue, the load and the assignment stand in files of their own; the fuzz test has its event and model apart; the cluster's waits and the bench's installation too. Nothing else: the tests are the same, line by line.

--- a/crates/heathertrack/src/dispatch/dispatcher.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher.rs
@@ -1,7 +1,6 @@
 use super::upstream::UpstreamKey;
 use super::{
-    Capacity, Choice, Estimates, Fairness, Finish, FreeSlots, Load, Needs, Options, Queue, Rank,
-    Shape, Spec, Standing, Task, Upstream, WaitKey,
+    Choice, Estimates, Fairness, Finish, Options, Queue, Rank, Shape, Spec, Task, Upstream, WaitKey,
 };
 use crate::clock::Time;
 use crate::name::Upstream as Name;
@@ -9,44 +8,18 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+mod assignment;
+mod leave;
+mod load;
 mod pick;
 
+pub use assignment::Assignment;
+
 slotmap::new_key_type! {
     /// Names a running task in one dispatcher.
     pub struct RunKey;
 }
 
-/// A task that must be sent to an upstream now.
-#[derive(Debug)]
-pub struct Assignment<T> {
-    /// Names the run until it ends.
-    pub run: RunKey,
-    /// The upstream's name.
-    pub upstream: Name,
-    /// The upstream's address.
-    pub address: String,
-    /// What was given with the task.
-    pub payload: T,
-}
-
-/// Sizes of workers told apart in a load.
-const MOST_SIZES: usize = 16;
-
-/// Ordinary seconds of work that an upstream does per second; nothing if it gets no tasks.
-fn ordinary_rate(upstream: &Upstream, now: Time) -> f64 {
-    match upstream.health.standing(now) {
-        Standing::Good => f64::from(upstream.spec.slots) / upstream.learned_slowness(),
-        _ => 0.0,
-    }
-}
-
-/// Counts an upstream of one size too many as one of a smaller size, if there is one.
-fn add_to_smaller(sizes: &mut [Capacity], size: &Needs, rate: f64) {
-    if let Some(smaller) = sizes.iter_mut().find(|known| size.holds(&known.size)) {
-        smaller.rate += rate;
-    }
-}
-
 /// Orders the waiting tasks of one host and places them on the upstreams that it dispatches to.
 #[derive(Debug)]
 pub struct Dispatcher<T> {
@@ -159,60 +132,6 @@
         (Rank::of(task, expected, turn.begin, rate, &self.options), turn.charge)
     }
 
-    /// Takes a waiting task out, if it still waits.
-    pub fn cancel(&mut self, key: WaitKey) -> Option<T> {
-        let waiting = self.waiting.remove(key)?;
-        self.fairness.refund(&waiting.task.customer, waiting.charge);
-        Some(self.leave_queue(waiting))
-    }
-
-    /// Takes out every waiting task whose deadline has come.
-    pub fn expire(&mut self, now: Time) -> Vec<T> {
-        let due = self.waiting.expire(now);
-        due.into_iter().map(|waiting| self.leave_queue(waiting)).collect()
-    }
-
-    /// Takes out the most urgent tasks that wait, at most `count`, to be run by a peer.
-    pub fn give_away(&mut self, count: usize, movable: impl Fn(&Task, &T) -> bool) -> Vec<T> {
-        /// Tasks of one shape looked at, beyond those that are given away.
-        const WINDOW: usize = 64;
-        let mut chosen: Vec<WaitKey> = Vec::new();
-        let mut left_out: HashMap<Shape, usize> = HashMap::new();
-        let mut walk = self.waiting.walk();
-        while chosen.len() < count
-            && let Some((shape, key)) = walk.next()
-        {
-            let waiting = self.waiting.get(key);
-            if waiting.is_some_and(|waiting| movable(&waiting.task, &waiting.payload)) {
-                chosen.push(key);
-                continue;
-            }
-            let left_out = left_out.entry(shape).or_default();
-            *left_out += 1;
-            if *left_out >= WINDOW {
-                walk.leave_out(shape);
-            }
-        }
-        chosen.into_iter().filter_map(|key| self.cancel(key)).collect()
-    }
-
-    /// Takes out every waiting task that none of this host's upstreams can ever hold, as after
-    /// one has left.
-    pub fn misplaced(&mut self) -> Vec<T> {
-        let sizes: Vec<Needs> = self.serving().map(|upstream| upstream.spec.size).collect();
-        let holds = |needs: &Needs| sizes.iter().any(|size| size.holds(needs));
-        let doubtful = self.waiting.shapes().filter(|shape| !holds(&shape.most()));
-        let keys: Vec<WaitKey> = doubtful.flat_map(|shape| self.waiting.alike(shape)).collect();
-        let unfit = |key: &WaitKey| self.waiting.get(*key).is_some_and(|w| !holds(&w.task.needs));
-        let unfit: Vec<WaitKey> = keys.into_iter().filter(unfit).collect();
-        unfit.into_iter().filter_map(|key| self.cancel(key)).collect()
-    }
-
-    fn leave_queue(&mut self, waiting: Waiting<T>) -> T {
-        self.backlog = self.backlog.saturating_sub(waiting.expected);
-        waiting.payload
-    }
-
     /// Places as many waiting tasks as there is room for.
     pub fn assign(&mut self, now: Time) -> Vec<Assignment<T>> {
         let mut assignments = Vec::new();
@@ -294,53 +213,6 @@
         self.estimates.knows(class, declared)
     }
 
-    /// How busy this dispatcher is.
-    pub fn load(&self, now: Time) -> Load {
-        let mut free: Vec<FreeSlots> = Vec::new();
-        for upstream in self.good(now) {
-            let count = upstream.free_slots() as u32;
-            if count > 0 {
-                let (slowness, room) = (upstream.slowness(now), upstream.room());
-                free.push(FreeSlots { slowness, count, room });
-            }
-        }
-        free.sort_by(|a, b| a.slowness.total_cmp(&b.slowness));
-        let waiting = self.waiting.len() as u32;
-        Load { free, waiting, backlog: self.backlog, capacity: self.capacity(now) }
-    }
-
-    /// What all upstreams served from here can do, by size; at most [`MOST_SIZES`] of them.
-    fn capacity(&self, now: Time) -> Vec<Capacity> {
-        let mut sizes: Vec<Capacity> = Vec::new();
-        for upstream in self.serving() {
-            let Spec { size, slots, .. } = upstream.spec;
-            let rate = ordinary_rate(upstream, now);
-            match sizes.iter().position(|known| known.size == size && known.slots == slots) {
-                Some(at) => sizes[at].rate += rate,
-                None if sizes.len() < MOST_SIZES => sizes.push(Capacity { size, slots, rate }),
-                None => add_to_smaller(&mut sizes, &size, rate),
-            }
-        }
-        sizes
-    }
-
-    /// Ordinary seconds of work done per second when all slots are busy.
-    fn rate(&self, now: Time) -> f64 {
-        let owned = self.upstreams.values().filter(|upstream| upstream.owned);
-        owned.map(|upstream| ordinary_rate(upstream, now)).sum()
-    }
-
-    /// Upstreams that this host dispatches to, whatever their health.
-    fn serving(&self) -> impl Iterator<Item = &Upstream> {
-        self.upstreams.values().filter(|upstream| upstream.owned && !upstream.spec.leaving)
-    }
-
-    fn good(&self, now: Time) -> impl Iterator<Item = &Upstream> {
-        let usable =
-            move |u: &&Upstream| u.is_open(now) && u.health.standing(now) == Standing::Good;
-        self.upstreams.values().filter(usable)
-    }
-
     /// The upstreams known here.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
--- /dev/null
+++ b/crates/heathertrack/tests/fuzz/dispatcher/event.rs
@@ -0,0 +1,54 @@
+use super::model::UPSTREAMS;
+use heathertrack::dispatch::Needs;
+use quickcheck::{Arbitrary, Gen};
+
+/// Something that happens to a dispatcher.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    Advance { ms: u16 },
+    Enqueue { declared_ms: u16, deadline_ms: u16, customer: u8, needs: Needs },
+    Cancel { which: usize },
+    End { which: usize, finish: u8 },
+    Leave { upstream: usize, leaving: bool },
+    Own { upstream: usize, owned: bool },
+    GiveAway { count: u8 },
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let upstream = usize::arbitrary(g) % UPSTREAMS;
+        match u8::arbitrary(g) % 16 {
+            0 | 1 => Event::Advance { ms: u16::arbitrary(g) % 400 },
+            2..=7 => Event::Enqueue {
+                declared_ms: u16::arbitrary(g) % 300,
+                deadline_ms: 100 + u16::arbitrary(g) % 5_000,
+                customer: u8::arbitrary(g) % 3,
+                needs: needs(u8::arbitrary(g)),
+            },
+            8 => Event::Cancel { which: usize::arbitrary(g) },
+            9..=12 => Event::End { which: usize::arbitrary(g), finish: u8::arbitrary(g) % 8 },
+            13 => Event::Leave { upstream, leaving: bool::arbitrary(g) },
+            14 => Event::Own { upstream, owned: u8::arbitrary(g) % 4 != 0 },
+            _ => Event::GiveAway { count: u8::arbitrary(g) % 4 },
+        }
+    }
+}
+
+/// An ordinary task.
+pub const SMALL: Needs = Needs { cores: 1, memory_mb: 1, accelerators: 0 };
+/// Only the first upstream has accelerators.
+pub const ACCELERATED: Needs = Needs { cores: 1, memory_mb: 1, accelerators: 1 };
+/// An upstream holds one of them, not two.
+pub const LARGE: Needs = Needs { cores: 9, memory_mb: 20_000, accelerators: 0 };
+
+/// It fits only on an upstream that has nothing else.
+pub const LARGE_ALONE: Needs = Needs { cores: 16, memory_mb: 1, accelerators: 0 };
+
+/// Half of the tasks are small.
+fn needs(draw: u8) -> Needs {
+    match draw % 8 {
+        0 | 1 => ACCELERATED,
+        2 | 3 => LARGE,
+        _ => SMALL,
+    }
+}
--- /dev/null
+++ b/crates/heathertrack/tests/fuzz/dispatcher/model.rs
@@ -0,0 +1,200 @@
+use super::event::Event;
+use heathertrack::clock::Time;
+use heathertrack::dispatch::{
+    Assignment, Dispatcher, Finish, Needs, Options, RunKey, Spec, Task, WaitKey,
+};
+use heathertrack::name::{Class, Customer, Upstream};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub const UPSTREAMS: usize = 5;
+const SLOTS: u32 = 2;
+
+/// Where each task is, as the oracle has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Place {
+    Waiting(WaitKey, Time),
+    Running(RunKey, usize),
+    Gone,
+}
+
+/// The dispatcher and what the oracle knows of it.
+pub struct Model {
+    pub dispatcher: Dispatcher<usize>,
+    pub specs: Vec<Spec>,
+    pub owned: Vec<bool>,
+    pub tasks: Vec<Place>,
+    /// What each task takes.
+    pub needs: Vec<Needs>,
+    pub now: Time,
+}
+
+fn spec(index: usize) -> Spec {
+    Spec {
+        name: Upstream::new(format!("u{index}")),
+        address: format!("127.0.0.1:{index}"),
+        slots: SLOTS,
+        connections: 64,
+        size: Needs { cores: 16, memory_mb: 32_768, accelerators: u32::from(index == 0) },
+        leaving: false,
+    }
+}
+
+fn task(declared_ms: u16, customer: u8, needs: Needs, now: Time, deadline: Time) -> Task {
+    let declared = Duration::from_millis(u64::from(declared_ms));
+    Task {
+        customer: Customer::new(format!("customer-{customer}")),
+        class: Class::new("cut-plan"),
+        worth: 1.0 + f64::from(customer),
+        arrived: now,
+        deadline,
+        declared,
+        needs,
+        job_longest: declared,
+        job_work: declared,
+    }
+}
+
+impl Model {
+    pub fn new() -> Self {
+        let specs: Vec<Spec> = (0..UPSTREAMS).map(spec).collect();
+        let mut model = Model {
+            dispatcher: Dispatcher::new(Options::default()),
+            specs,
+            owned: vec![true; UPSTREAMS],
+            tasks: Vec::new(),
+            needs: Vec::new(),
+            now: Time::ZERO,
+        };
+        model.update();
+        model
+    }
+
+    pub fn update(&mut self) {
+        let owned = self.owned.clone();
+        let index = |name: &Upstream| name.as_str()[1..].parse::<usize>().expect("u and a number");
+        self.dispatcher.update(&self.specs, |name| owned[index(name)], self.now);
+    }
+
+    pub fn apply(&mut self, event: Event) -> Result<(), String> {
+        match event {
+            Event::Advance { ms } => self.now = self.now + Duration::from_millis(u64::from(ms)),
+            Event::Enqueue { declared_ms, deadline_ms, customer, needs } => {
+                let deadline = self.now + Duration::from_millis(u64::from(deadline_ms));
+                let task = task(declared_ms, customer, needs, self.now, deadline);
+                let key = self.dispatcher.enqueue(task, self.tasks.len(), self.now);
+                let key = key.map_err(|_| "the queue is full".to_owned())?;
+                self.tasks.push(Place::Waiting(key, deadline));
+                self.needs.push(needs);
+            }
+            Event::Cancel { which } => self.cancel(which)?,
+            Event::End { which, finish } => self.end(which, finish)?,
+            Event::Leave { upstream, leaving } => {
+                self.specs[upstream].leaving = leaving;
+                self.update();
+            }
+            Event::Own { upstream, owned } => {
+                self.owned[upstream] = owned;
+                self.update();
+            }
+            Event::GiveAway { count } => {
+                for number in self.dispatcher.give_away(usize::from(count), |_, _| true) {
+                    self.leave_queue(number)?;
+                }
+            }
+        }
+        self.pump()?;
+        self.check()
+    }
+
+    fn leave_queue(&mut self, number: usize) -> Result<(), String> {
+        match self.tasks[number] {
+            Place::Waiting(..) => {
+                self.tasks[number] = Place::Gone;
+                Ok(())
+            }
+            place => Err(format!("task {number} left the queue, but is {place:?}")),
+        }
+    }
+
+    fn cancel(&mut self, which: usize) -> Result<(), String> {
+        let Some(number) = which.checked_rem(self.tasks.len()) else { return Ok(()) };
+        let Place::Waiting(key, _) = self.tasks[number] else { return Ok(()) };
+        match self.dispatcher.cancel(key) {
+            Some(cancelled) if cancelled == number => self.leave_queue(number),
+            other => Err(format!("cancelling {number} gave {other:?}")),
+        }
+    }
+
+    pub fn end(&mut self, which: usize, finish: u8) -> Result<(), String> {
+        let running = self.tasks.iter().enumerate().filter_map(|(number, place)| match place {
+            Place::Running(run, _) => Some((number, *run)),
+            _ => None,
+        });
+        let running: Vec<(usize, RunKey)> = running.collect();
+        let Some(at) = which.checked_rem(running.len()) else { return Ok(()) };
+        let (number, run) = running[at];
+        let finish = match finish {
+            0 | 1 => Finish::Failed,
+            2 => Finish::Unsent,
+            3 => Finish::Abandoned,
+            _ => Finish::Succeeded,
+        };
+        self.dispatcher.finish(run, finish, self.now);
+        self.tasks[number] = Place::Gone;
+        Ok(())
+    }
+
+    fn pump(&mut self) -> Result<(), String> {
+        for number in self.dispatcher.expire(self.now) {
+            self.leave_queue(number)?;
+        }
+        for Assignment { run, upstream, payload, .. } in self.dispatcher.assign(self.now) {
+            let at = self.specs.iter().position(|spec| spec.name == upstream);
+            let at = at.ok_or("an unknown upstream got a task")?;
+            if self.specs[at].leaving || !self.owned[at] {
+                return Err(format!("{upstream}, which leaves or is not ours, got a task"));
+            }
+            self.leave_queue(payload)?;
+            self.tasks[payload] = Place::Running(run, at);
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let mut used: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut taken = [Needs::default(); UPSTREAMS];
+        let mut waiting = 0;
+        for (place, needs) in self.tasks.iter().zip(&self.needs) {
+            match place {
+                Place::Running(_, at) => {
+                    *used.entry(*at).or_default() += 1;
+                    taken[*at].cores += needs.cores;
+                    taken[*at].memory_mb += needs.memory_mb;
+                    taken[*at].accelerators += needs.accelerators;
+                }
+                Place::Waiting(_, deadline) if *deadline <= self.now => {
+                    return Err("a task waits past its deadline".to_owned());
+                }
+                Place::Waiting(..) => waiting += 1,
+                Place::Gone => {}
+            }
+        }
+        if used.values().any(|count| *count > SLOTS) {
+            return Err("an upstream has more tasks than slots".to_owned());
+        }
+        if self.specs.iter().zip(&taken).any(|(spec, taken)| !spec.size.holds(taken)) {
+            return Err("a worker has more than it can hold".to_owned());
+        }
+        if waiting != self.dispatcher.waiting() {
+            return Err("a task was lost".to_owned());
+        }
+        let owned = self.dispatcher.upstreams().filter(|upstream| upstream.owned);
+        let out = owned.filter(|upstream| upstream.health.is_out()).count();
+        // One that was ejected elsewhere may come back to this host; the cap is on new ejections.
+        if self.owned.iter().all(|owned| *owned) && out > UPSTREAMS - 1 {
+            return Err("every upstream is ejected".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_testkit/examples/measure/installation.rs
@@ -0,0 +1,109 @@
+//! What one bench consists of: upstreams, settings of the hosts, lists.
+
+use crate::setup::{
+    DATA_CENTRES, HOSTS_EACH, SLOTS, Setup, UPSTREAM_ROUND_TRIP, UPSTREAMS_EACH, accelerators,
+    slowness,
+};
+use crate::workload::{CUSTOMERS, WORTHS};
+use heathertrack_platform::Etcd;
+use heathertrack_testkit::client::Client;
+use heathertrack_testkit::fixture::{customers, free_address, platform_answers};
+use heathertrack_testkit::upstream::{Mode, Setting, Upstream};
+use heathertrackd::{Settings, Trial};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// Upstreams in a rack.
+pub const RACK: usize = 8;
+
+pub fn setting(index: usize) -> Setting {
+    let latency_us = u64::try_from(UPSTREAM_ROUND_TRIP.as_micros()).unwrap_or_default();
+    Setting { mode: Mode::Work, slowness: slowness(index % UPSTREAMS_EACH), latency_us }
+}
+
+pub fn name(customer: usize) -> String {
+    format!("customer-{customer}")
+}
+
+pub async fn start_upstreams(setup: Setup, listed: &mut Vec<Value>) -> Vec<Upstream> {
+    let (cores, memory_mb) = setup.worker();
+    let mut upstreams = Vec::new();
+    for index in 0..DATA_CENTRES * UPSTREAMS_EACH {
+        let upstream = Upstream::new(SLOTS as usize, setting(index));
+        let address = free_address();
+        let listener = TcpListener::bind(address).await.expect("an upstream can listen");
+        tokio::spawn(upstream.clone().serve_on(listener));
+        listed.push(json!({
+            "name": format!("u{index}"), "address": address.to_string(),
+            "data_centre": data_centre(index / UPSTREAMS_EACH),
+            "rack": format!("r{}", index / RACK), "role": "upstream", "state": "live",
+            "slots": SLOTS, "connections": 64, "cores": cores, "memory_mb": memory_mb,
+            "accelerators": accelerators(index % UPSTREAMS_EACH),
+        }));
+        upstreams.push(upstream);
+    }
+    upstreams
+}
+
+fn data_centre(index: usize) -> String {
+    format!("dc-{}", index + 1)
+}
+
+pub fn settings(
+    index: usize,
+    platform: SocketAddr,
+    setup: Setup,
+    trial: Option<Trial>,
+) -> Settings {
+    let text = json!({
+        "name": format!("e{index}"),
+        "data_centre": data_centre(index / HOSTS_EACH),
+        "listen": {
+            "callers": free_address().to_string(),
+            "peers": free_address().to_string(),
+            "operators": free_address().to_string(),
+        },
+        "platform": {
+            "store": [platform.to_string()],
+            "host_list": format!("http://{platform}/hosts"),
+        },
+        "limits": {"drain_notice_ms": 0},
+    });
+    let mut settings = Settings::read("settings", &text.to_string()).expect("they are valid");
+    settings.policy.objective = setup.objective();
+    settings.policy.trial = trial;
+    settings
+}
+
+pub fn listed_host(settings: &Settings) -> Value {
+    json!({
+        "name": settings.name.as_str(), "address": settings.listen.peers.to_string(),
+        "data_centre": settings.data_centre.as_str(), "role": "entry", "state": "live",
+    })
+}
+
+/// Writes the lists and the host list.
+pub async fn prepare(platform: SocketAddr, hosts: &[Value]) {
+    platform_answers(&platform).await;
+    let client = Client::new("");
+    let list = json!({"revision": 1, "hosts": hosts}).to_string();
+    client.call(Method::POST, &platform, "/control/hosts", None, &list).await;
+    let entry = |n: usize| (name(n), "plan".to_owned(), WORTHS[n]);
+    let plans = customers(&(0..CUSTOMERS).map(entry).collect::<Vec<_>>());
+    let allowances = json!({"plans": {"plan": {
+        "tasks_at_once": 60_000, "starts_per_second": 60_000.0, "burst": 60_000.0,
+        "tasks_per_job": 340, "task_cores": 2_000, "task_memory_mb": 8_192,
+        "task_accelerators": 1, "deadline_ms": 30_000,
+    }}});
+    write_list(platform, "plans", &plans).await;
+    write_list(platform, "allowances", &allowances).await;
+}
+
+async fn write_list(platform: SocketAddr, list: &str, value: &Value) {
+    use heathertrack_platform::{Store, Swap};
+    let key = format!("/heathertrack/lists/{list}");
+    let swap = Swap { key, expected: 0, value: value.to_string().into_bytes() };
+    Etcd::open([platform]).swap(vec![swap]).await.expect("the stand-in takes lists");
+}
--- a/crates/heathertrack_testkit/examples/measure/main.rs
+++ b/crates/heathertrack_testkit/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod bench;
 mod fault;
 mod figures;
+mod installation;
 mod latency;
 mod messages;
 mod setup;
