--- a/crates/heathertrackd/src/placement.rs
+++ b/crates/heathertrackd/src/placement.rs
@@ -17,6 +17,8 @@
 const MAX_TRIES: u32 = 5;
 /// Pause before a task that came back unstarted is placed again.
 const TRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause before a task that no upstream can hold now is placed again; it doubles up to this.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// How often a task may go from host to host.
 const MAX_HOPS: u8 = 2;
 
@@ -107,6 +109,7 @@
 ) -> TaskEnd {
     let mut last = "it was cancelled".to_owned();
     let mut tries = 0;
+    let mut nowhere_pause = TRY_PAUSE;
     while tries < MAX_TRIES && !cancel.is_cancelled() && state.now() < task.deadline {
         let end = match state.placement.choose(state, task) {
             Target::Local => run_here(state, task, work, cancel).await,
@@ -114,7 +117,8 @@
             Target::Nowhere => {
                 // The upstream that can hold it may come back, or its new host may tell of it.
                 last = "no upstream that is served now can hold it".to_owned();
-                pause(state, cancel).await;
+                pause(state, nowhere_pause, cancel).await;
+                nowhere_pause = (2 * nowhere_pause).min(LONGEST_PAUSE);
                 continue;
             }
         };
@@ -123,15 +127,15 @@
             end => return end,
         }
         tries += 1;
-        pause(state, cancel).await;
+        pause(state, TRY_PAUSE, cancel).await;
     }
     TaskEnd::Unstarted(last)
 }
 
 /// Waits before a task is placed again, but not if it is cancelled.
-async fn pause(state: &State, cancel: &CancellationToken) {
+async fn pause(state: &State, span: Duration, cancel: &CancellationToken) {
     tokio::select! {
-        () = state.timer.wait(TRY_PAUSE) => {}
+        () = state.timer.wait(span) => {}
         () = cancel.cancelled() => {}
     }
 }
