Count passed-over shapes in one place; one filter of usable upstreams

Ruled out, as only the shape is alike: constants of ejection and claims, readers of the two lists, setters of options, the fuzz properties with a mechanism off (each names its own mechanism).

Change: the walk through the queue counts what is passed over and leaves the rest of a shape out; `good` gives the keys too; one chain for the misplaced; `free_listeners` for both fixtures. Behaviour and tests are the same.

--- a/crates/heathertrack/src/dispatch/dispatcher/leave.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher/leave.rs
@@ -2,8 +2,7 @@
 
 use super::{Dispatcher, Waiting};
 use crate::clock::Time;
-use crate::dispatch::{Needs, Shape, Task, WaitKey};
-use std::collections::HashMap;
+use crate::dispatch::{Needs, Task, WaitKey};
 
 /// Tasks of one shape looked at, beyond those that are given away.
 const WINDOW: usize = 64;
@@ -25,7 +24,6 @@
     /// Takes out the most urgent tasks that wait, at most `count`, to be run by a peer.
     pub fn give_away(&mut self, count: usize, movable: impl Fn(&Task, &T) -> bool) -> Vec<T> {
         let mut chosen: Vec<WaitKey> = Vec::new();
-        let mut left_out: HashMap<Shape, usize> = HashMap::new();
         let mut walk = self.waiting.walk();
         while chosen.len() < count
             && let Some((shape, key)) = walk.next()
@@ -33,12 +31,8 @@
             let waiting = self.waiting.get(key);
             if waiting.is_some_and(|waiting| movable(&waiting.task, &waiting.payload)) {
                 chosen.push(key);
-                continue;
-            }
-            let left_out = left_out.entry(shape).or_default();
-            *left_out += 1;
-            if *left_out >= WINDOW {
-                walk.leave_out(shape);
+            } else {
+                walk.pass(shape, WINDOW);
             }
         }
         chosen.into_iter().filter_map(|key| self.cancel(key)).collect()
@@ -50,9 +44,9 @@
         let sizes: Vec<Needs> = self.serving().map(|upstream| upstream.spec.size).collect();
         let holds = |needs: &Needs| sizes.iter().any(|size| size.holds(needs));
         let doubtful = self.waiting.shapes().filter(|shape| !holds(&shape.most()));
-        let keys: Vec<WaitKey> = doubtful.flat_map(|shape| self.waiting.alike(shape)).collect();
+        let doubtful = doubtful.flat_map(|shape| self.waiting.alike(shape));
         let unfit = |key: &WaitKey| self.waiting.get(*key).is_some_and(|w| !holds(&w.task.needs));
-        let unfit: Vec<WaitKey> = keys.into_iter().filter(unfit).collect();
+        let unfit: Vec<WaitKey> = doubtful.filter(unfit).collect();
         unfit.into_iter().filter_map(|key| self.cancel(key)).collect()
     }
 
--- a/crates/heathertrack/src/dispatch/dispatcher/load.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher/load.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use crate::clock::Time;
-use crate::dispatch::{Capacity, FreeSlots, Load, Needs, Spec, Standing, Upstream};
+use crate::dispatch::{Capacity, FreeSlots, Load, Needs, Spec, Standing, Upstream, UpstreamKey};
 
 /// Sizes of workers told apart in a load.
 const MOST_SIZES: usize = 16;
@@ -26,7 +26,7 @@
     /// How busy this dispatcher is.
     pub fn load(&self, now: Time) -> Load {
         let mut free: Vec<FreeSlots> = Vec::new();
-        for upstream in self.good(now) {
+        for (_, upstream) in self.good(now) {
             let count = upstream.free_slots() as u32;
             if count > 0 {
                 let (slowness, room) = (upstream.slowness(now), upstream.room());
@@ -64,9 +64,11 @@
         self.upstreams.values().filter(|upstream| upstream.owned && !upstream.spec.leaving)
     }
 
-    pub(super) fn good(&self, now: Time) -> impl Iterator<Item = &Upstream> {
-        let usable =
-            move |u: &&Upstream| u.is_open(now) && u.health.standing(now) == Standing::Good;
-        self.upstreams.values().filter(usable)
+    /// Upstreams that may get ordinary tasks now.
+    pub(super) fn good(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let usable = move |(_, upstream): &(UpstreamKey, &Upstream)| {
+            upstream.is_open(now) && upstream.health.standing(now) == Standing::Good
+        };
+        self.upstreams.iter().filter(usable)
     }
 }
--- a/crates/heathertrack/src/dispatch/dispatcher/pick.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher/pick.rs
@@ -4,7 +4,7 @@
 
 use super::{Dispatcher, Waiting};
 use crate::clock::Time;
-use crate::dispatch::{Choice, Shape, Standing, Upstream, UpstreamKey, WaitKey};
+use crate::dispatch::{Choice, Standing, Upstream, UpstreamKey, WaitKey};
 use slots::{Kept, Slots};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -54,33 +54,25 @@
 
     /// The first task in order for which a free slot is the earliest way to finish.
     fn pick_earliest(&self, now: Time) -> Option<(WaitKey, UpstreamKey)> {
-        if !self.good(now).any(|upstream| upstream.free_slots() > 0) {
+        if !self.good(now).any(|(_, upstream)| upstream.free_slots() > 0) {
             return None;
         }
         let slots = self.slots(now);
         let fastest = slots.iter().map(|slots| slots.slowness).fold(f64::INFINITY, f64::min);
         let mut kept = AllKept::new();
-        let mut looked: HashMap<Shape, usize> = HashMap::new();
         let mut walk = self.waiting.walk();
         while let Some((shape, key)) = walk.next() {
             let waiting = self.waiting.get(key)?;
             if let Some(upstream) = place(&slots, waiting, fastest, &mut kept) {
                 return Some((key, upstream));
             }
-            let looked = looked.entry(shape).or_default();
-            *looked += 1;
-            if *looked >= WINDOW {
-                walk.leave_out(shape);
-            }
+            walk.pass(shape, WINDOW);
         }
         None
     }
 
     fn slots(&self, now: Time) -> Vec<Slots> {
-        let usable = self.upstreams.iter().filter(|(_, upstream)| {
-            upstream.is_open(now) && upstream.health.standing(now) == Standing::Good
-        });
-        usable.map(|(key, upstream)| Slots::of(key, upstream, now)).collect()
+        self.good(now).map(|(key, upstream)| Slots::of(key, upstream, now)).collect()
     }
 
     /// The first task, on the less used of `draws` upstreams drawn at random.
--- a/crates/heathertrack/src/dispatch/queue/walk.rs
+++ b/crates/heathertrack/src/dispatch/queue/walk.rs
@@ -15,6 +15,7 @@
 struct Line<'a> {
     shape: Shape,
     rest: Peekable<Iter<'a, (Rank, WaitKey)>>,
+    passed: usize,
 }
 
 impl<'a> Walk<'a> {
@@ -22,13 +23,21 @@
         let line = |(shape, alike): (&Shape, &'a BTreeSet<(Rank, WaitKey)>)| Line {
             shape: *shape,
             rest: alike.iter().peekable(),
+            passed: 0,
         };
         Walk { lines: by_shape.iter().map(line).collect() }
     }
 
-    /// Leaves out what is still to come of a shape.
-    pub fn leave_out(&mut self, shape: Shape) {
-        self.lines.retain(|line| line.shape != shape);
+    /// Notes that one of a shape was of no use. After `most` of them the rest of the shape is left
+    /// out, so that those without a place hold up only their like.
+    pub fn pass(&mut self, shape: Shape, most: usize) {
+        let Some(at) = self.lines.iter().position(|line| line.shape == shape) else {
+            return;
+        };
+        self.lines[at].passed += 1;
+        if self.lines[at].passed >= most {
+            self.lines.remove(at);
+        }
     }
 }
 
--- a/crates/heathertrack_testkit/examples/measure/installation.rs
+++ b/crates/heathertrack_testkit/examples/measure/installation.rs
@@ -7,7 +7,7 @@
 use crate::workload::{CUSTOMERS, WORTHS};
 use heathertrack_platform::Etcd;
 use heathertrack_testkit::client::Client;
-use heathertrack_testkit::fixture::{customers, free_address, platform_answers};
+use heathertrack_testkit::fixture::{customers, free_address, free_listeners, platform_answers};
 use heathertrack_testkit::upstream::{Mode, Setting, Upstream};
 use heathertrackd::{Settings, Trial};
 use hyper::Method;
@@ -60,11 +60,7 @@
     let text = json!({
         "name": format!("e{index}"),
         "data_centre": data_centre(index / HOSTS_EACH),
-        "listen": {
-            "callers": free_address().to_string(),
-            "peers": free_address().to_string(),
-            "operators": free_address().to_string(),
-        },
+        "listen": free_listeners(),
         "platform": {
             "store": [platform.to_string()],
             "host_list": format!("http://{platform}/hosts"),
--- a/crates/heathertrack_testkit/src/fixture.rs
+++ b/crates/heathertrack_testkit/src/fixture.rs
@@ -13,7 +13,7 @@
 pub use host::Host;
 pub use load::Load;
 pub use plan::{Plan, customers};
-pub use ports::free_address;
+pub use ports::{free_address, free_listeners};
 pub use process::Process;
 pub use programs::Programs;
 pub use worker::Worker;
