--- /dev/null
+++ b/crates/heathertrack/src/pool.rs
@@ -0,0 +1,42 @@
+//! A dispatcher of jobs over upstreams that run tasks under leases.
+//!
+//! [`Pool`] is a state machine: it takes jobs, the upstreams' answers and the time, and returns
+//! [`Effect`]s. It never assumes that an order without an answer was not carried out.
+//!
+//! ```
+//! use heathertrack::clock::Time;
+//! use heathertrack::pool::{Options, Pool};
+//!
+//! let mut pool = Pool::new(Options::default());
+//! pool.tick(Time::from_millis(25));
+//! assert!(pool.take_effects().is_empty());
+//! ```
+
+mod admission;
+mod durations;
+mod effect;
+mod health;
+pub mod job;
+mod listing;
+mod load;
+mod machine;
+mod options;
+mod order;
+mod ownership;
+mod placement;
+pub mod routing;
+mod run;
+mod speed;
+mod task;
+pub mod upstream;
+
+pub use effect::{Decision, Effect};
+pub use job::JobKey;
+pub use listing::{End, Ended, Listing, Row};
+pub use load::Load;
+pub use machine::Pool;
+pub use options::Options;
+pub use ownership::{Candidate, dispatchers, owner};
+pub use run::{RunKey, StartAnswer};
+pub use task::Task;
+pub use upstream::UpstreamKey;
--- /dev/null
+++ b/crates/heathertrack/src/pool/admission.rs
@@ -0,0 +1,19 @@
+use super::Load;
+use std::time::Duration;
+
+/// Share of an upstream's cores that tasks of uneven size fill (two of 6.8 cores on 16).
+const PACKING: f64 = 0.85;
+
+/// Expected time until work that comes now is started, behind all that waits.
+///
+/// Answers the load pattern "a queue grows faster than it drains": what would wait too long is
+/// refused before it waits.
+pub(super) fn expected_wait(load: &Load, ahead: f64) -> Duration {
+    if load.places > 0 && ahead <= f64::EPSILON {
+        return Duration::ZERO;
+    }
+    if load.cores <= f64::EPSILON {
+        return Duration::MAX;
+    }
+    Duration::from_secs_f64((ahead / (load.cores * PACKING)).min(3_600.0))
+}
--- /dev/null
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -0,0 +1,216 @@
+//! The dispatcher's state machine.
+
+mod listings;
+mod orders;
+mod place;
+mod sweep;
+mod upstreams;
+
+use super::durations::Durations;
+use super::job::{Id, Job, Outcome, Request};
+use super::run::{Run, State};
+use super::upstream::Upstream;
+use super::{Decision, Effect, JobKey, Load, Options, RunKey, Task, UpstreamKey, admission};
+use crate::clock::Time;
+use crate::name;
+use slotmap::SlotMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Jobs, upstreams and runs of one dispatcher.
+#[derive(Debug, Default)]
+pub struct Pool {
+    options: Options,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    names: HashMap<name::Upstream, UpstreamKey>,
+    jobs: SlotMap<JobKey, Job>,
+    ids: HashMap<Id, JobKey>,
+    runs: SlotMap<RunKey, Run>,
+    tasks: HashMap<(Task, u32), RunKey>,
+    durations: Durations,
+    sequence: u64,
+    effects: Vec<Effect>,
+}
+
+impl Pool {
+    /// A dispatcher without upstreams.
+    pub fn new(options: Options) -> Self {
+        Pool { options, ..Pool::default() }
+    }
+
+    /// Takes what has to be done.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Whether any job is in progress or any run holds room.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.runs.is_empty()
+    }
+
+    /// Takes a job. Its outcome comes as [`Effect::Finish`], possibly at once.
+    ///
+    /// A job that is already in progress under its identifier is ended first: the caller of the
+    /// earlier submission is gone, or it would not have sent it again.
+    pub fn submit(&mut self, request: Request, now: Time) -> JobKey {
+        if let Some(earlier) = self.ids.get(&request.id).copied() {
+            self.end(earlier, Outcome::MayHaveRun("submitted again"), now);
+        }
+        self.sequence += 1;
+        let id = request.id.clone();
+        let job = Job::new(request, self.sequence);
+        let refusal = self.refusal(&job, now);
+        let key = self.jobs.insert(job);
+        self.ids.insert(id, key);
+        match refusal {
+            Some((why, expected)) => self.refuse(key, why, expected, now),
+            None => self.place(now),
+        }
+        key
+    }
+
+    /// Ends a job whose caller has left or cancelled it.
+    pub fn cancel(&mut self, job: JobKey, now: Time) {
+        self.end(job, Outcome::MayHaveRun("cancelled"), now);
+        self.place(now);
+    }
+
+    /// Cancels the job with this identifier. Gives whether there was one.
+    pub fn cancel_by_id(&mut self, id: &Id, now: Time) -> bool {
+        let Some(job) = self.ids.get(id).copied() else { return false };
+        self.cancel(job, now);
+        true
+    }
+
+    /// Why a job can't be taken, with the expected wait.
+    fn refusal(&self, job: &Job, now: Time) -> Option<(&'static str, Duration)> {
+        let load = self.load(now);
+        let rank = self.options.order.rank(job, now);
+        let ahead = self.jobs.values().filter(|other| self.options.order.rank(other, now) < rank);
+        let work: f64 = ahead.map(Job::waiting_work).sum();
+        let expected = admission::expected_wait(&load, work);
+        if !self.could_run(job) {
+            return Some(("no upstream can hold a task", expected));
+        }
+        let patience = self.patience(job);
+        let waited = now.since(job.request.received);
+        (waited.saturating_add(expected) > patience).then_some(("the queue is too long", expected))
+    }
+
+    /// Whether each task fits an upstream that is known, busy or not.
+    fn could_run(&self, job: &Job) -> bool {
+        job.request.steps.iter().all(|step| {
+            self.upstreams.values().any(|upstream| {
+                upstream.record.service == job.request.service
+                    && step.needs.fits(&upstream.record.capacity)
+                    && step.label.as_ref().is_none_or(|label| upstream.has_label(label))
+            })
+        })
+    }
+
+    /// How long a job may wait without a start.
+    fn patience(&self, job: &Job) -> Duration {
+        job.request.objective.mul_f64(self.options.wait_share)
+    }
+
+    fn refuse(&mut self, key: JobKey, why: &'static str, expected: Duration, now: Time) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let waited = now.since(job.request.received);
+        let id = job.request.id.clone();
+        self.effects.push(Effect::Note(Decision::Refused { job: id, why, waited, expected }));
+        let retry_after = expected.max(waited);
+        self.end(key, Outcome::NotRun { retry_after, why }, now);
+    }
+
+    fn give_up(&mut self, key: JobKey, why: &'static str, now: Time) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let (id, age) = (job.request.id.clone(), now.since(job.request.received));
+        self.effects.push(Effect::Note(Decision::GivenUp { job: id, why, age }));
+        self.end(key, Outcome::MayHaveRun(why), now);
+    }
+
+    /// Takes a job out and stops what runs of it.
+    fn end(&mut self, key: JobKey, outcome: Outcome, now: Time) {
+        let Some(job) = self.jobs.remove(key) else { return };
+        if self.ids.get(&job.request.id) == Some(&key) {
+            self.ids.remove(&job.request.id);
+        }
+        let runs: Vec<RunKey> = job.steps.iter().flatten().filter_map(|task| task.run).collect();
+        for run in runs {
+            if let Some(run) = self.runs.get_mut(run) {
+                run.job = None;
+            }
+            self.stop(run, now);
+        }
+        if outcome == Outcome::Completed {
+            self.learn(&job);
+        }
+        self.effects.push(Effect::Finish { job: key, outcome });
+    }
+
+    /// Learns upstreams' speeds from the runs of one job, whose work is much alike.
+    fn learn(&mut self, job: &Job) {
+        if job.request.steps.len() != 1 || job.durations.len() < 2 {
+            return;
+        }
+        let work = |(upstream, log): &(UpstreamKey, f64)| {
+            self.upstreams.get(*upstream).map(|upstream| log + upstream.speed.log())
+        };
+        let works: Vec<f64> = job.durations.iter().filter_map(work).collect();
+        let mean = works.iter().sum::<f64>() / works.len().max(1) as f64;
+        for (upstream, log) in &job.durations {
+            if let Some(upstream) = self.upstreams.get_mut(*upstream) {
+                upstream.speed.compare(mean - log);
+            }
+        }
+    }
+
+    /// What entry hosts are told.
+    pub fn load(&self, now: Time) -> Load {
+        let mut load = Load::default();
+        let usual = self.usual_cpu();
+        for upstream in self.upstreams.values().filter(|upstream| upstream.is_usable(now)) {
+            let factor = upstream.speed.factor() / 1_000.0;
+            load.cores += f64::from(upstream.record.capacity.cpu) * factor;
+            load.busy += f64::from(upstream.used.cpu) * factor;
+            if upstream.takes_starts(now) {
+                load.places += upstream.free().cpu / usual;
+            }
+        }
+        for job in self.jobs.values() {
+            load.waiting += job.waiting_work();
+            load.waiting_jobs += u32::from(!job.begun);
+        }
+        load
+    }
+
+    /// Mean of what the runs at hand take, in thousandths of a core.
+    fn usual_cpu(&self) -> u32 {
+        let total: u64 = self.runs.values().map(|run| u64::from(run.needs.cpu)).sum();
+        let count = self.runs.len() as u64;
+        u32::try_from(total.checked_div(count).unwrap_or(1_000)).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Learned speeds by upstream, for other hosts.
+    pub fn speeds(&self) -> impl Iterator<Item = (&name::Upstream, f64)> {
+        self.upstreams.values().map(|upstream| (&upstream.record.name, upstream.speed.factor()))
+    }
+
+    /// Jobs of which nothing was started, by service.
+    pub fn waiting_jobs(&self, service: &str) -> usize {
+        let waits = |job: &&Job| !job.begun && &*job.request.service == service;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Orders that a run is stopped, unless it is already.
+    fn stop(&mut self, key: RunKey, _now: Time) {
+        let Some(run) = self.runs.get_mut(key) else { return };
+        if run.state == State::Stopping {
+            return;
+        }
+        run.state = State::Stopping;
+        run.settled = None;
+        let (upstream, task, number) = (run.upstream, run.task.clone(), run.number);
+        self.effects.push(Effect::Stop { upstream, run: key, task, number });
+    }
+}
--- /dev/null
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -0,0 +1,225 @@
+use super::Pool;
+use super::orders::STOP_ATTEMPTS;
+use crate::clock::Time;
+use crate::pool::run::State;
+use crate::pool::upstream::Tenure;
+use crate::pool::{Decision, Effect, End, Ended, Listing, RunKey, UpstreamKey};
+use std::time::Duration;
+
+/// Time that a listed end of a run unknown here is left to the dispatcher that started it.
+const STRANGE_END: Duration = Duration::from_secs(1);
+/// Failed looks in a row after which looks no longer prolong the lease: the answers may be lost on
+/// their way only, and what runs there unseen has to end.
+const BLIND_LOOKS: u32 = 2;
+/// Pause between looks at an upstream of another dispatcher's runs.
+const TAKING_PAUSE: Duration = Duration::from_millis(120);
+
+impl Pool {
+    /// Takes an upstream's list of runs, asked for at `sent`.
+    pub fn listed(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.look_out = false;
+        if upstream.mute {
+            upstream.mute = false;
+            self.note_upstream(key, "answers again", now);
+        }
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.read_clock(listing.clock_ms, now);
+        if upstream.born_ms.is_some_and(|born| born != listing.born_ms) {
+            upstream.acknowledged = 0;
+            upstream.strange_ends.clear();
+            self.note_upstream(key, "started anew", now);
+        }
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.born_ms = Some(listing.born_ms);
+        self.take_ends(key, &listing.ended, now);
+        let seen = self.take_rows(key, listing, now);
+        self.take_absent(key, &seen, sent, now);
+        self.settle_tenure(key, now);
+        self.plan_look(key, now);
+        self.place(now);
+    }
+
+    fn take_ends(&mut self, key: UpstreamKey, ends: &[End], now: Time) {
+        for end in ends {
+            let run =
+                end.task.as_ref().and_then(|task| self.tasks.get(&(task.clone(), end.number)));
+            if let Some(run) = run.copied().filter(|run| self.runs_at(*run, key)) {
+                self.ended(run, end.how, now);
+                if let Some(upstream) = self.upstreams.get_mut(key) {
+                    upstream.strange_ends.insert(end.sequence, Time::ZERO);
+                }
+            } else if let Some(upstream) = self.upstreams.get_mut(key) {
+                upstream.strange_ends.entry(end.sequence).or_insert(now);
+            }
+        }
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        // Acknowledges up to the first end that another dispatcher may still have to see.
+        while let Some(first) = upstream.strange_ends.first_entry() {
+            if now.since(*first.get()) < STRANGE_END && *first.get() != Time::ZERO {
+                break;
+            }
+            upstream.acknowledged = upstream.acknowledged.max(*first.key());
+            first.remove();
+        }
+        upstream.owes_acknowledgement = !ends.is_empty();
+    }
+
+    fn runs_at(&self, run: RunKey, upstream: UpstreamKey) -> bool {
+        self.runs.get(run).is_some_and(|run| run.upstream == upstream)
+    }
+
+    /// Takes what runs; gives the runs that are known here.
+    fn take_rows(&mut self, key: UpstreamKey, listing: &Listing, now: Time) -> Vec<RunKey> {
+        let mut seen = Vec::new();
+        let mut foreign = Vec::new();
+        for row in &listing.running {
+            let run = self.tasks.get(&(row.task.clone(), row.number)).copied();
+            let Some(run_key) = run.filter(|run| self.runs_at(*run, key)) else {
+                foreign.push((row.task.clone(), row.number));
+                continue;
+            };
+            seen.push(run_key);
+            let Some(run) = self.runs.get_mut(run_key) else { continue };
+            if run.state == State::Starting {
+                run.state = State::Running;
+                run.settled = Some(now);
+            }
+            if run.percent != row.percent {
+                run.percent = row.percent;
+                run.percent_since = now;
+            }
+        }
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.foreign.runs = foreign;
+        }
+        seen
+    }
+
+    /// Ends runs that the upstream would have shown.
+    fn take_absent(&mut self, key: UpstreamKey, seen: &[RunKey], sent: Time, now: Time) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let over = |run: &RunKey| {
+            !seen.contains(run)
+                && self.runs.get(*run).and_then(|run| run.settled).is_some_and(|at| at <= sent)
+        };
+        let over: Vec<RunKey> = upstream.runs.iter().copied().filter(over).collect();
+        for run in over {
+            self.ended(run, Ended::Gone, now);
+        }
+    }
+
+    /// Runs of unknown origin that outlive a lease which this dispatcher didn't prolong belong to a
+    /// live dispatcher; until then nothing is started beside them.
+    fn settle_tenure(&mut self, key: UpstreamKey, now: Time) {
+        let lease = self.options.lease;
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        if upstream.tenure != Tenure::Taking {
+            return;
+        }
+        let since = *upstream.foreign.since.get_or_insert(now);
+        let margin = lease.mul_f64(super::super::upstream::SLOW_CLOCK_MARGIN) + TAKING_PAUSE;
+        if upstream.foreign.runs.is_empty() || now.since(since) > margin {
+            upstream.tenure = Tenure::Owned;
+            upstream.foreign.since = None;
+        }
+    }
+
+    /// An upstream gave no answer to a look.
+    pub fn look_failed(&mut self, key: UpstreamKey, unreachable: bool, now: Time) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.look_out = false;
+        upstream.misses += 1;
+        if unreachable {
+            self.unreachable(key, now);
+        } else {
+            self.note_mute(key, now);
+        }
+        let misses = self.upstreams.get(key).map_or(0, |upstream| upstream.misses);
+        let pause = if misses <= 1 { Duration::ZERO } else { self.options.retry };
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.look_due = now + pause * misses.min(10);
+        }
+        self.look(key, now);
+        self.place(now);
+    }
+
+    /// Nobody listens there: its process is gone, and all that ran in it.
+    pub fn unreachable(&mut self, key: UpstreamKey, now: Time) {
+        self.note_mute(key, now);
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.clock = None;
+        upstream.lapsed = now;
+        for run in upstream.runs.clone() {
+            self.ended(run, Ended::Gone, now);
+        }
+    }
+
+    pub(super) fn note_mute(&mut self, key: UpstreamKey, now: Time) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        if !upstream.mute {
+            upstream.mute = true;
+            upstream.look_due = now;
+            self.note_upstream(key, "does not answer", now);
+        }
+    }
+
+    pub(super) fn note_upstream(&mut self, key: UpstreamKey, state: &'static str, now: Time) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let age = now.since(upstream.answered);
+        let upstream = upstream.record.name.clone();
+        self.effects.push(Effect::Note(Decision::Upstream { upstream, state, age }));
+    }
+
+    /// Decides when the upstream is looked at next.
+    fn plan_look(&mut self, key: UpstreamKey, now: Time) {
+        let idle = self.options.idle_look;
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.look_due = if upstream.tenure == Tenure::Taking {
+            now + TAKING_PAUSE
+        } else if !upstream.runs.is_empty() {
+            now
+        } else if upstream.owes_acknowledgement {
+            now + STRANGE_END
+        } else {
+            now + idle
+        };
+        self.look(key, now);
+    }
+
+    /// Looks at an upstream soon, as something was started there.
+    pub(super) fn look_soon(&mut self, key: UpstreamKey, now: Time) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.look_due = now;
+        }
+        self.look(key, now);
+    }
+
+    /// Looks at an upstream if it is due and no look is out.
+    pub(super) fn look(&mut self, key: UpstreamKey, now: Time) {
+        let (lease, wait) = (self.options.lease, self.options.look);
+        let undead = |run: &RunKey| {
+            self.runs.get(*run).is_some_and(|run| run.stop_attempts >= STOP_ATTEMPTS)
+        };
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        if upstream.look_out || now < upstream.look_due {
+            return;
+        }
+        let released = upstream.tenure == Tenure::Released && upstream.runs.is_empty();
+        if released {
+            return;
+        }
+        let busy = !upstream.runs.is_empty();
+        // A run that can't be stopped ends only if nothing prolongs the lease there.
+        let prolongs = busy
+            && upstream.tenure != Tenure::Taking
+            && upstream.misses < BLIND_LOOKS
+            && !upstream.runs.iter().any(undead);
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let until_ms = if prolongs { upstream.prolong(lease, now) } else { None };
+        upstream.look_out = true;
+        let acknowledged = upstream.acknowledged;
+        let wait = if prolongs { wait } else { Duration::ZERO };
+        self.effects.push(Effect::Look { upstream: key, until_ms, acknowledged, wait });
+    }
+}
--- /dev/null
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -0,0 +1,95 @@
+use super::Pool;
+use crate::clock::Time;
+use crate::pool::run::{Run, State};
+use crate::pool::{Ended, JobKey, RunKey, UpstreamKey};
+use std::time::Duration;
+
+/// A run that takes this many times as long as expected, without progress, stands still: estimates
+/// are off by some 40%, speeds by less.
+const STALL_FACTOR: u32 = 3;
+/// Shortest time without progress that counts as standing still: three looks.
+const STALL: Duration = Duration::from_millis(600);
+
+impl Pool {
+    /// Does what time alone brings about. To be called every few tens of milliseconds while there
+    /// are jobs or runs, and at least every second.
+    pub fn tick(&mut self, now: Time) {
+        self.end_overdue(now);
+        self.end_lapsed(now);
+        self.stop_stalled(now);
+        let due: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        for upstream in due {
+            self.look(upstream, now);
+        }
+        self.forget();
+        self.place(now);
+    }
+
+    /// Gives up jobs that can't be answered in a useful time.
+    fn end_overdue(&mut self, now: Time) {
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let Some(job) = self.jobs.get(key) else { continue };
+            let waited = now.since(job.request.received);
+            if !job.begun && !job.ran && waited > self.patience(job) {
+                self.refuse(key, "nothing was free in time", waited, now);
+            } else if now >= job.useless(self.options.late_factor) {
+                self.give_up(key, "its time is over", now);
+            }
+        }
+    }
+
+    /// Ends runs whose lease has surely lapsed: nothing prolonged it for long enough.
+    fn end_lapsed(&mut self, now: Time) {
+        let lapsed = |(_, run): &(RunKey, &Run)| {
+            let upstream = self.upstreams.get(run.upstream);
+            upstream.is_none_or(|upstream| now > upstream.lapsed)
+        };
+        let keys: Vec<RunKey> = self.runs.iter().filter(lapsed).map(|(key, _)| key).collect();
+        for key in keys {
+            self.ended(key, Ended::Lapsed, now);
+        }
+    }
+
+    /// Stops runs that stand still, so that their tasks can start elsewhere.
+    fn stop_stalled(&mut self, now: Time) {
+        let stalled = |(_, run): &(RunKey, &Run)| {
+            let limit = (run.expected * STALL_FACTOR).max(STALL);
+            run.state == State::Running
+                && now.since(run.ordered) > limit
+                && now.since(run.percent_since) > STALL
+        };
+        let keys: Vec<RunKey> = self.runs.iter().filter(stalled).map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(run) = self.runs.get(key) else { continue };
+            let upstream_key = run.upstream;
+            if let Some(upstream) = self.upstreams.get_mut(upstream_key)
+                && upstream.health.stalled(now)
+            {
+                self.note_upstream(upstream_key, "lets runs stand still", now);
+            }
+            self.stop(key, now);
+        }
+    }
+
+    /// The process was suspended for longer than its leases: all runs are over.
+    pub fn resumed(&mut self, now: Time) {
+        let runs: Vec<RunKey> = self.runs.keys().collect();
+        for run in runs {
+            self.ended(run, Ended::Lapsed, now);
+        }
+        let jobs: Vec<JobKey> = self.jobs.keys().collect();
+        for job in jobs {
+            self.give_up(job, "this host was suspended", now);
+        }
+        for upstream in self.upstreams.values_mut() {
+            upstream.clock = None;
+            upstream.look_due = now;
+            upstream.tenure = match upstream.tenure {
+                super::super::upstream::Tenure::Owned => super::super::upstream::Tenure::Taking,
+                other => other,
+            };
+            upstream.foreign.since = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -0,0 +1,103 @@
+use super::Pool;
+use crate::clock::Time;
+use crate::name;
+use crate::pool::UpstreamKey;
+use crate::pool::speed::Speed;
+use crate::pool::upstream::{Record, Tenure, Upstream};
+
+impl Pool {
+    /// Takes what an upstream says of itself, and whether this dispatcher owns it. `speed` is what
+    /// other dispatchers have learned of it.
+    pub fn know(&mut self, record: Record, owned: bool, speed: Option<f64>, now: Time) {
+        let known = self.names.get(&record.name).copied();
+        if known.is_none() && !owned {
+            return;
+        }
+        let key = known.unwrap_or_else(|| {
+            let name = record.name.clone();
+            let mut upstream = Upstream::new(record.clone(), now);
+            upstream.speed = speed.map(Speed::from_factor).unwrap_or_default();
+            let key = self.upstreams.insert(upstream);
+            self.names.insert(name, key);
+            key
+        });
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let reborn = record.born_ms.is_some()
+            && upstream.born_ms.is_some()
+            && record.born_ms > upstream.born_ms;
+        let was_draining = upstream.record.draining;
+        upstream.record = record;
+        upstream.missing_since = None;
+        if upstream.record.draining && !was_draining {
+            self.note_upstream(key, "drains", now);
+        }
+        self.set_owned(key, owned, now);
+        if reborn {
+            self.look_soon(key, now);
+        }
+    }
+
+    fn set_owned(&mut self, key: UpstreamKey, owned: bool, now: Time) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        match (owned, upstream.tenure) {
+            (true, Tenure::Released) => {
+                upstream.tenure = Tenure::Taking;
+                upstream.foreign.since = None;
+                upstream.look_due = now;
+                self.look(key, now);
+            }
+            (false, Tenure::Taking | Tenure::Owned) => upstream.tenure = Tenure::Released,
+            (true, _) | (false, Tenure::Released) => {}
+        }
+    }
+
+    /// The record of an upstream is gone from the store. Nothing more is started there; what runs
+    /// there is seen through.
+    pub fn missing(&mut self, name: &name::Upstream, now: Time) {
+        let Some(key) = self.names.get(name).copied() else { return };
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && upstream.missing_since.is_none()
+        {
+            upstream.missing_since = Some(now);
+            self.note_upstream(key, "has no record", now);
+        }
+    }
+
+    /// Name and address of an upstream.
+    pub fn contact(&self, key: UpstreamKey) -> Option<(name::Upstream, String)> {
+        let record = &self.upstreams.get(key)?.record;
+        Some((record.name.clone(), record.address.clone()))
+    }
+
+    /// Upstreams known here, by name.
+    pub fn known(&self) -> impl Iterator<Item = &name::Upstream> {
+        self.names.keys()
+    }
+
+    /// Stops runs of other dispatchers on own upstreams: one of them has died, and its runs would
+    /// live on by the leases that are prolonged here.
+    pub fn stop_foreign(&mut self, now: Time) {
+        for upstream in self.upstreams.values_mut() {
+            if upstream.tenure == Tenure::Owned && !upstream.foreign.runs.is_empty() {
+                upstream.tenure = Tenure::Taking;
+                upstream.foreign.since = None;
+                upstream.look_due = now;
+            }
+        }
+    }
+
+    /// Forgets upstreams without record, owner and runs.
+    pub(super) fn forget(&mut self) {
+        let gone = |upstream: &Upstream| {
+            let released = upstream.tenure == Tenure::Released || upstream.missing_since.is_some();
+            released && upstream.runs.is_empty() && !upstream.look_out
+        };
+        let keys: Vec<UpstreamKey> =
+            self.upstreams.iter().filter(|(_, u)| gone(u)).map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(upstream) = self.upstreams.remove(key) {
+                self.names.remove(&upstream.record.name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrack/src/pool/ownership.rs
@@ -0,0 +1,46 @@
+use crate::membership::rendezvous;
+use crate::name::{DataCentre, Host, Upstream};
+
+/// Upstreams that one dispatcher is to own at most, if there are hosts enough: its share of a core
+/// carries the starts of as many.
+const UPSTREAMS_EACH: usize = 24;
+
+/// A host that could dispatch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The host.
+    pub host: Host,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Share of a core that it has.
+    pub cpu_share: f64,
+}
+
+/// The hosts that dispatch for `upstreams` upstreams of a data centre: as few as carry them, as a
+/// queue for many upstreams serves better than several for a few each, and the largest first.
+///
+/// `candidates` are the hosts of the data centre that are alive and don't leave; if there are none,
+/// all that are alive.
+pub fn dispatchers(
+    data_centre: &DataCentre,
+    upstreams: usize,
+    candidates: &[Candidate],
+) -> Vec<Host> {
+    let wanted = upstreams.div_ceil(UPSTREAMS_EACH).max(1);
+    let mut left: Vec<&Candidate> = candidates.iter().collect();
+    let mut chosen = Vec::new();
+    while chosen.len() < wanted && !left.is_empty() {
+        let largest = left.iter().map(|c| c.cpu_share).fold(0.0, f64::max);
+        let hosts = left.iter().filter(|c| c.cpu_share >= largest).map(|c| &c.host);
+        let role = format!("dispatcher {data_centre} {}", chosen.len());
+        let Some(host) = rendezvous(&role, hosts).cloned() else { break };
+        left.retain(|candidate| candidate.host != host);
+        chosen.push(host);
+    }
+    chosen
+}
+
+/// The dispatcher that owns an upstream.
+pub fn owner<'a>(upstream: &Upstream, dispatchers: &'a [Host]) -> Option<&'a Host> {
+    rendezvous(upstream.as_str(), dispatchers)
+}
--- a/crates/heathertrack_cli/src/jobs.rs
+++ b/crates/heathertrack_cli/src/jobs.rs
@@ -75,7 +75,9 @@
 ) -> Result<Exit, Report> {
     let (status, body) = match answer {
         Ok(answer) => answer,
-        Err(Fault::Unreachable(reason)) => return Err(miette!("{host}: {reason}")),
+        Err(Fault::Unreachable(reason) | Fault::Refused(reason)) => {
+            return Err(miette!("{host}: {reason}"));
+        }
         Err(fault) => {
             return Err(miette!("{host}: {fault}; the job may have run, its key is {key}"));
         }
--- a/crates/heathertrack_platform/src/fault.rs
+++ b/crates/heathertrack_platform/src/fault.rs
@@ -6,6 +6,9 @@
     /// Nothing was sent, so nothing took effect.
     #[error("the platform cannot be reached: {0}")]
     Unreachable(String),
+    /// Nobody listens at the address, so nothing took effect.
+    #[error("the platform refused the connection: {0}")]
+    Refused(String),
     /// The call may have taken effect.
     #[error("the platform's answer was lost: {0}")]
     AnswerLost(String),
--- a/crates/heathertrack_platform/src/http.rs
+++ b/crates/heathertrack_platform/src/http.rs
@@ -1,36 +1,39 @@
 use crate::Fault;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::client::legacy::Client as Pool;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// Largest answer taken, in bytes; the store holds values up to a megabyte, in base64.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Connections kept open to one address.
 const IDLE_CONNECTIONS: usize = 4;
+/// Port of addresses that name none.
+const HTTP_PORT: u16 = 80;
 
-/// A small HTTP client with a timeout on every call.
+type Sender = SendRequest<Full<Bytes>>;
+
+/// A small HTTP client that keeps connections, with a timeout on every call.
+///
+/// A call that got no answer in time closes the idle connections to its address too: the path to it
+/// may have gone silent without a reset, while new connections work.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pool: Pool<HttpConnector, Full<Bytes>>,
+    idle: Arc<Mutex<HashMap<String, Vec<Sender>>>>,
     timeout: Duration,
 }
 
 impl Client {
-    /// A client whose calls take at most `timeout`.
+    /// A client whose calls take at most `timeout`, where they name none.
     pub fn open(timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeout));
-        connector.set_nodelay(true);
-        let pool = Pool::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
-            .build(connector);
-        Client { pool, timeout }
+        Client { idle: Arc::default(), timeout }
     }
 
     /// Calls a URI; gives the status and the whole body.
@@ -60,23 +63,123 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, Fault> {
-        match tokio::time::timeout(self.timeout, self.exchange(request)).await {
+        self.send_within(request, self.timeout).await
+    }
+
+    /// Sends a request whose answer has to come within `timeout`; gives the whole answer.
+    pub async fn send_within(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Fault> {
+        let address = complete(&mut request)?;
+        let mut sent = false;
+        match tokio::time::timeout(timeout, self.exchange(&address, request, &mut sent)).await {
             Ok(answer) => answer,
-            Err(_) => Err(Fault::AnswerLost(format!("no answer in {:?}", self.timeout))),
+            Err(_) => {
+                self.lock().remove(&address);
+                let text = format!("no answer in {timeout:?}");
+                Err(if sent { Fault::AnswerLost(text) } else { Fault::Unreachable(text) })
+            }
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Fault> {
-        let response = self.pool.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                Fault::Unreachable(error.to_string())
-            } else {
-                Fault::AnswerLost(error.to_string())
+    async fn exchange(
+        &self,
+        address: &str,
+        mut request: Request<Full<Bytes>>,
+        sent: &mut bool,
+    ) -> Result<Response<Bytes>, Fault> {
+        // An idle connection may have been closed meanwhile; what it gives back was not sent.
+        while let Some(mut sender) = self.take(address) {
+            if sender.ready().await.is_err() {
+                continue;
             }
-        })?;
+            *sent = true;
+            match sender.try_send_request(request).await {
+                Ok(response) => return self.finish(address, sender, response).await,
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(Fault::AnswerLost(error.into_error().to_string())),
+                },
+            }
+            *sent = false;
+        }
+        let mut sender = connect(address).await?;
+        *sent = true;
+        let response = sender.send_request(request).await;
+        let response = response.map_err(|error| Fault::AnswerLost(error.to_string()))?;
+        self.finish(address, sender, response).await
+    }
+
+    async fn finish(
+        &self,
+        address: &str,
+        sender: Sender,
+        response: Response<hyper::body::Incoming>,
+    ) -> Result<Response<Bytes>, Fault> {
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|error| Fault::AnswerLost(error.to_string()))?;
+        self.keep(address, sender);
         Ok(Response::from_parts(head, body.to_bytes()))
     }
+
+    fn take(&self, address: &str) -> Option<Sender> {
+        let mut idle = self.lock();
+        let senders = idle.get_mut(address)?;
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: &str, sender: Sender) {
+        let mut idle = self.lock();
+        let senders = idle.entry(address.to_owned()).or_default();
+        if senders.len() < IDLE_CONNECTIONS && !sender.is_closed() {
+            senders.push(sender);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Vec<Sender>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Gives the address that the request's URI names, and leaves the request as it goes on the wire.
+fn complete(request: &mut Request<Full<Bytes>>) -> Result<String, Fault> {
+    let unreachable = |text: &str| Fault::Unreachable(text.to_owned());
+    let uri = request.uri().clone();
+    let authority = uri.authority().ok_or_else(|| unreachable("the address names no host"))?;
+    if !request.headers().contains_key(HOST) {
+        let host = HeaderValue::from_str(authority.as_str());
+        let host = host.map_err(|_| unreachable("the host's name can't be sent"))?;
+        request.headers_mut().insert(HOST, host);
+    }
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    *request.uri_mut() = path.parse().map_err(|_| unreachable("the path can't be sent"))?;
+    Ok(match authority.port_u16() {
+        Some(_) => authority.as_str().to_owned(),
+        None => format!("{authority}:{HTTP_PORT}"),
+    })
+}
+
+async fn connect(address: &str) -> Result<Sender, Fault> {
+    let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+            Fault::Refused(error.to_string())
+        }
+        _ => Fault::Unreachable(error.to_string()),
+    })?;
+    stream.set_nodelay(true).map_err(|error| Fault::Unreachable(error.to_string()))?;
+    let handshaken = handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshaken.map_err(|error| Fault::Unreachable(error.to_string()))?;
+    tokio::spawn(async move {
+        // Its error reaches the call that is in progress; without one nothing is lost.
+        let _ = connection.await;
+    });
+    Ok(sender)
 }
--- a/crates/heathertrack_platform/src/lib.rs
+++ b/crates/heathertrack_platform/src/lib.rs
@@ -14,14 +14,22 @@
 //! # }
 //! ```
 
+mod deployment;
 mod etcd;
 mod fault;
+mod front;
 mod host_list;
 mod http;
+mod metadata;
 mod store;
+mod upstreams;
 
+pub use deployment::Deployment;
 pub use etcd::Etcd;
 pub use fault::Fault;
+pub use front::{Call, Front, Submission};
 pub use host_list::{HostList, HttpHostList};
 pub use http::Client;
+pub use metadata::{Changes, Fact, HostRecord, Item, LeaseKey, Metadata, ReadFault, Subject};
 pub use store::{Store, Swap, Swapped, Value};
+pub use upstreams::{Look, Start, Upstreams};
--- /dev/null
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -0,0 +1,250 @@
+//! Callers' requests.
+
+use super::journal::ms;
+use super::node::{Adapter, Entry};
+use heathertrack::clock::Time;
+use heathertrack::name::Host;
+use heathertrack::pool::job::{Id, Outcome, Request, longest_chain};
+use heathertrack::routes::{Limits, Route, Table};
+use heathertrack_platform::{Call, Front, Submission};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// How long a caller is taken to wait whose request and route say nothing.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Pause after a connection could not be accepted, as descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Smallest buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// Serves callers.
+pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>, listener: TcpListener) {
+    let entry = entry.clone();
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(serve(entry.clone(), stream));
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    });
+}
+
+async fn serve<A: Adapter>(entry: Rc<Entry<A>>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = entry.limits();
+    let service = service_fn(|request| {
+        let entry = entry.clone();
+        async move { Ok::<_, Infallible>(entry.answer(request).await) }
+    });
+    // A broken connection needs no answer; what ran for it is cancelled as its future is dropped.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Counts a caller that waits, until it is dropped.
+struct Waiting<A: Adapter>(Rc<Entry<A>>);
+
+impl<A: Adapter> Waiting<A> {
+    fn new(entry: &Rc<Entry<A>>) -> Self {
+        entry.state.borrow_mut().callers += 1;
+        Waiting(entry.clone())
+    }
+}
+
+impl<A: Adapter> Drop for Waiting<A> {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().callers -= 1;
+    }
+}
+
+impl<A: Adapter> Entry<A> {
+    fn limits(&self) -> Limits {
+        let state = self.state.borrow();
+        state.table.as_ref().map(|table| table.limits.clone()).unwrap_or_default()
+    }
+
+    async fn answer(self: Rc<Self>, request: hyper::Request<Incoming>) -> Response<String> {
+        let waiting = Waiting::new(&self);
+        let received = self.now();
+        let (head, body) = request.into_parts();
+        let mut response = self.respond(&head, body, received).await;
+        drop(waiting);
+        if self.state.borrow().leaving {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn respond(
+        self: &Rc<Self>,
+        head: &Parts,
+        body: Incoming,
+        received: Time,
+    ) -> Response<String> {
+        let Some(table) = self.state.borrow().table.clone() else {
+            let mut response =
+                self.refuse(head, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", 0);
+            response.headers_mut().insert(RETRY_AFTER, 1.into());
+            return response;
+        };
+        let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let version = table.version;
+        let Some(route) = table.find(host, head.uri.path()) else {
+            return self.refuse(head, StatusCode::NOT_FOUND, "no route", version);
+        };
+        match self.adapter.front().call(head, &route.prefix) {
+            Err(status) => self.refuse(head, status, "not a request of this route", version),
+            Ok(Call::Submit(id)) => self.submit(head, body, &table, route, id, received).await,
+            // Every job's answer is that to its submission: nobody asks for one later.
+            Ok(Call::State(_)) => self.refuse(head, StatusCode::GONE, "no such job", version),
+            Ok(Call::Cancel(id)) => self.cancel(head, &id, version),
+            Ok(Call::Waiting) => self.adapter.front().waiting(self.waiting_jobs(&route.service)),
+        }
+    }
+
+    fn refuse(
+        &self,
+        head: &Parts,
+        status: StatusCode,
+        why: &str,
+        version: u64,
+    ) -> Response<String> {
+        self.journal.request_refused(head.uri.path(), status.as_u16(), why, version);
+        self.adapter.front().refusal(status, why)
+    }
+
+    fn waiting_jobs(&self, service: &str) -> usize {
+        let state = self.state.borrow();
+        let others: u32 = state.peers.values().map(|peer| peer.load.waiting_jobs).sum();
+        state.pool.waiting_jobs(service) + others as usize
+    }
+
+    fn cancel(self: &Rc<Self>, head: &Parts, id: &Id, version: u64) -> Response<String> {
+        let cancelled = self.with_pool(|pool, now| pool.cancel_by_id(id, now));
+        if cancelled {
+            return self.adapter.front().refusal(StatusCode::OK, "cancelled");
+        }
+        self.refuse(head, StatusCode::GONE, "no such job", version)
+    }
+
+    async fn submit(
+        self: &Rc<Self>,
+        head: &Parts,
+        body: Incoming,
+        table: &Table,
+        route: &Route,
+        id: Id,
+        received: Time,
+    ) -> Response<String> {
+        let version = table.version;
+        let limit = table.limits.body_bytes;
+        let read = timeout(table.limits.idle_timeout, Limited::new(body, limit).collect()).await;
+        let body = match read {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                return self.refuse(head, StatusCode::PAYLOAD_TOO_LARGE, "body too large", version);
+            }
+            Ok(Err(_)) => {
+                return self.refuse(head, StatusCode::BAD_REQUEST, "body not read", version);
+            }
+            Err(_) => {
+                return self.refuse(head, StatusCode::REQUEST_TIMEOUT, "body too slow", version);
+            }
+        };
+        let submission = match self.adapter.front().submission(&body) {
+            Ok(submission) => submission,
+            Err(findings) => {
+                let why = findings.join("; ");
+                return self.refuse(head, StatusCode::BAD_REQUEST, &why, version);
+            }
+        };
+        let unsupported = submission.unsupported.or(route.needs_advice.then_some("advice"));
+        if let Some(what) = unsupported {
+            let why = format!("{what} are not offered; the job was not run");
+            return self.refuse(head, StatusCode::SERVICE_UNAVAILABLE, &why, version);
+        }
+        let patience = self.adapter.front().patience(head);
+        let job = request(id, submission, route, patience, received);
+        self.run(job, version).await
+    }
+
+    async fn run(self: &Rc<Self>, job: Request, version: u64) -> Response<String> {
+        let id = job.id.clone();
+        let (received, objective, deadline) = (job.received, job.objective, job.deadline);
+        let class = job.class.clone();
+        let left = deadline.since(self.now());
+        let (dispatcher, outcome) = match timeout(left, self.run_job(job)).await {
+            Ok(ended) => ended,
+            Err(_) => (None, Outcome::MayHaveRun("the caller's time is over")),
+        };
+        let age = self.now().since(received);
+        let event = match &outcome {
+            Outcome::Completed if age <= objective => "job_completed",
+            Outcome::Completed => "job_late",
+            Outcome::Failed => "job_failed",
+            Outcome::NotRun { .. } => "job_not_run",
+            Outcome::MayHaveRun(_) => "job_unfinished",
+        };
+        self.journal.job_ended(
+            event,
+            json!({
+                "id": id.as_str(), "class": &*class, "age_ms": ms(age),
+                "objective_ms": ms(objective), "version": version,
+                "dispatcher": dispatcher.as_ref().map(Host::as_str), "why": why(&outcome),
+            }),
+        );
+        self.adapter.front().outcome(&outcome)
+    }
+}
+
+fn why(outcome: &Outcome) -> Option<&'static str> {
+    match outcome {
+        Outcome::NotRun { why, .. } | Outcome::MayHaveRun(why) => Some(why),
+        Outcome::Completed | Outcome::Failed => None,
+    }
+}
+
+fn request(
+    id: Id,
+    submission: Submission,
+    route: &Route,
+    patience: Option<Duration>,
+    received: Time,
+) -> Request {
+    let objective = longest_chain(&submission.steps).mul_f64(route.stretch) + route.extra;
+    let patience = patience.or(route.timeout).unwrap_or(PATIENCE);
+    Request {
+        id,
+        spec: submission.spec,
+        class: route.name.clone(),
+        service: route.service.clone(),
+        priority: route.priority,
+        max_attempts: route.max_attempts,
+        steps: submission.steps,
+        received,
+        objective,
+        deadline: received + patience,
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -0,0 +1,136 @@
+//! Carries out what the dispatcher asks for.
+
+use super::frame::Frame;
+use super::node::{Adapter, Entry};
+use super::state::Reply;
+use heathertrack::clock::Time;
+use heathertrack::pool::job::Outcome;
+use heathertrack::pool::{Effect, JobKey, Pool, StartAnswer, UpstreamKey};
+use heathertrack_platform::{Fault, Look, Start, Upstreams};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Pause before an order that got no answer is given again, so that a path that fails at once isn't
+/// tried in a loop.
+const AGAIN: Duration = Duration::from_millis(20);
+
+impl<A: Adapter> Entry<A> {
+    /// Changes the dispatcher and carries out what it asks for.
+    pub(super) fn with_pool<T>(self: &Rc<Self>, change: impl FnOnce(&mut Pool, Time) -> T) -> T {
+        let now = self.now();
+        let result = change(&mut self.state.borrow_mut().pool, now);
+        self.carry_out();
+        result
+    }
+
+    /// Carries out all that the dispatcher asks for.
+    pub(super) fn carry_out(self: &Rc<Self>) {
+        let effects = self.state.borrow_mut().pool.take_effects();
+        for effect in effects {
+            match effect {
+                Effect::Start { upstream, run, task, number, spec, until_ms } => {
+                    let order = Start { task, number, spec, until_ms };
+                    self.start(upstream, run, order);
+                }
+                Effect::Stop { upstream, run, task, number } => {
+                    let Some((name, address)) = self.contact(upstream) else { continue };
+                    let entry = self.clone();
+                    spawn_local(async move {
+                        let upstreams = entry.adapter.upstreams();
+                        let answer = upstreams.stop(&address, &name, &task, number).await;
+                        entry.stopped(upstream, run, answer).await;
+                    });
+                }
+                Effect::Look { upstream, until_ms, acknowledged, wait } => {
+                    self.look(upstream, Look { until_ms, acknowledged, wait });
+                }
+                Effect::Finish { job, outcome } => self.finish(job, outcome),
+                Effect::Note(decision) => self.journal.decision(&decision),
+            }
+        }
+    }
+
+    fn contact(&self, upstream: UpstreamKey) -> Option<(heathertrack::name::Upstream, String)> {
+        self.state.borrow().pool.contact(upstream)
+    }
+
+    fn start(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        run: heathertrack::pool::RunKey,
+        order: Start,
+    ) {
+        let Some((name, address)) = self.contact(upstream) else { return };
+        let entry = self.clone();
+        spawn_local(async move {
+            let (answer, clock_ms) = entry.adapter.upstreams().start(&address, &name, &order).await;
+            if answer != StartAnswer::Running {
+                entry.journal.start_refused(&order, &name, answer);
+            }
+            entry.with_pool(|pool, now| pool.started(run, answer, clock_ms, now));
+        });
+    }
+
+    async fn stopped(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        run: heathertrack::pool::RunKey,
+        answer: Result<Option<u64>, Fault>,
+    ) {
+        match answer {
+            Ok(clock_ms) => {
+                self.with_pool(|pool, now| pool.stopped(run, true, clock_ms, now));
+            }
+            Err(Fault::Refused(_)) => {
+                self.with_pool(|pool, now| pool.unreachable(upstream, now));
+            }
+            Err(_) => {
+                sleep(AGAIN).await;
+                self.with_pool(|pool, now| pool.stopped(run, false, None, now));
+            }
+        }
+    }
+
+    fn look(self: &Rc<Self>, upstream: UpstreamKey, look: Look) {
+        let Some((name, address)) = self.contact(upstream) else { return };
+        let entry = self.clone();
+        let sent = self.clock.now();
+        spawn_local(async move {
+            match entry.adapter.upstreams().look(&address, &name, &look).await {
+                Ok(listing) => {
+                    entry.with_pool(|pool, now| pool.listed(upstream, &listing, sent, now));
+                }
+                Err(fault) => {
+                    entry.journal.look_failed(&name, &fault);
+                    let unreachable = matches!(fault, Fault::Refused(_));
+                    if !unreachable {
+                        sleep(AGAIN).await;
+                    }
+                    entry.with_pool(|pool, now| pool.look_failed(upstream, unreachable, now));
+                }
+            }
+        });
+    }
+
+    fn finish(&self, job: JobKey, outcome: Outcome) {
+        let mut state = self.state.borrow_mut();
+        match state.replies.remove(&job) {
+            Some(Reply::Here(reply)) => {
+                // A caller that has left needs no answer.
+                let _ = reply.send(outcome);
+            }
+            Some(Reply::Peer(host, call)) => {
+                if let Some(peer) = state.peers.get_mut(&host) {
+                    peer.jobs.remove(&call);
+                    let how = (&outcome).into();
+                    if peer.frames.try_send(Frame::Ended { call, how }).is_err() {
+                        self.journal.link_full(&host);
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -0,0 +1,155 @@
+//! Follows the platform's store, and keeps this host's record there.
+
+use super::node::{Adapter, Entry};
+use heathertrack_platform::{Changes, Fact, Item, LeaseKey, Metadata, ReadFault, Subject};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Longest wait of one call for changes; short, so that a connection that went silent is noticed
+/// well within the time in which a configuration has to be in force.
+const WAIT: Duration = Duration::from_millis(700);
+/// Pause between calls for changes, for each live host: all together stay far below the store's
+/// rates however many they are.
+const PAUSE_EACH: Duration = Duration::from_millis(50);
+/// Shortest pause between calls for changes.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause: with a call it stays within the time in which a configuration is in force.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time after which this host's record ends unless it is renewed.
+const RECORD_TTL: Duration = Duration::from_secs(10);
+/// Period of renewals.
+const RENEWAL: Duration = Duration::from_secs(3);
+
+/// Starts to follow the store.
+pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>) {
+    spawn_local(follow(entry.clone()));
+    spawn_local(keep_record(entry.clone()));
+}
+
+async fn follow<A: Adapter>(entry: Rc<Entry<A>>) {
+    let store = entry.adapter.metadata().clone();
+    let mut answers = true;
+    let mut complete = false;
+    loop {
+        let after = entry.state.borrow().mirror.revision();
+        let result = if complete {
+            store.changes(after, WAIT).await
+        } else {
+            store.read().await.map_err(ReadFault::Call)
+        };
+        match result {
+            Ok(changes) => {
+                if !answers {
+                    entry.journal.store(true, "", changes.revision);
+                    answers = true;
+                }
+                entry.take_changes(changes, !complete);
+                complete = true;
+                let hosts = entry.state.borrow().peers.len() as u32 + 1;
+                sleep((PAUSE_EACH * hosts).clamp(PAUSE, LONGEST_PAUSE)).await;
+            }
+            Err(ReadFault::Forgotten) => complete = false,
+            Err(ReadFault::Call(fault)) => {
+                if answers {
+                    entry.journal.store(false, &fault.to_string(), after);
+                    answers = false;
+                }
+                let now = entry.now();
+                entry.state.borrow_mut().store_failed = Some(now);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn keep_record<A: Adapter>(entry: Rc<Entry<A>>) {
+    let store = entry.adapter.metadata().clone();
+    let mut lease: Option<LeaseKey> = None;
+    loop {
+        let pause = match lease {
+            None => match store.announce(&entry.record, RECORD_TTL).await {
+                Ok(key) => {
+                    lease = Some(key);
+                    entry.lease.set(lease);
+                    RENEWAL
+                }
+                Err(_) => RETRY,
+            },
+            Some(key) => match store.renew(key).await {
+                Ok(true) => RENEWAL,
+                Ok(false) => {
+                    lease = None;
+                    Duration::ZERO
+                }
+                Err(_) => RETRY,
+            },
+        };
+        sleep(pause).await;
+    }
+}
+
+impl<A: Adapter> Entry<A> {
+    /// Ends this host's record.
+    pub(super) async fn withdraw(&self) {
+        if let Some(lease) = self.lease.get()
+            && let Err(fault) = self.adapter.metadata().withdraw(lease).await
+        {
+            self.journal.store(false, &fault.to_string(), 0);
+        }
+    }
+
+    /// Takes changes of the store, from it or from a peer.
+    pub(super) fn take_changes(self: &Rc<Self>, changes: Changes, all: bool) {
+        let items = {
+            let mut state = self.state.borrow_mut();
+            if all { state.mirror.take_all(changes) } else { state.mirror.take(changes) }
+        };
+        for item in items {
+            self.take_item(&item);
+        }
+        self.update_owners();
+    }
+
+    fn take_item(self: &Rc<Self>, item: &Item) {
+        let subject = self.adapter.metadata().subject(&item.key);
+        if subject == Subject::Other {
+            return;
+        }
+        let fact = item.value.as_deref().map(|value| {
+            let fact = self.adapter.metadata().decode(&item.key, value);
+            fact.inspect_err(|why| self.journal.unreadable(&item.key, why, item.revision))
+        });
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        match (subject, fact) {
+            (_, Some(Ok(Fact::Configuration(table)))) => {
+                let before = state.version();
+                if table.version > before {
+                    self.journal.configured(table.version, before, item.revision);
+                    state.table = Some(Rc::new(table));
+                }
+            }
+            (_, Some(Ok(Fact::Upstream(record)))) => {
+                state.missing.remove(&record.name);
+                let name = record.name.clone();
+                if state.upstreams.insert(name, record.clone()).as_ref() != Some(&record) {
+                    state.owners_stale = true;
+                }
+            }
+            (_, Some(Ok(Fact::Host(record)))) => {
+                state.hosts.insert(record.name.clone(), record);
+            }
+            (Subject::Upstream(name), None | Some(Err(_))) => {
+                state.missing.entry(name).or_insert(now);
+            }
+            (Subject::Host(name), None | Some(Err(_))) => {
+                state.hosts.remove(&name);
+            }
+            (Subject::Configuration | Subject::Other, None | Some(Err(_))) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -0,0 +1,271 @@
+//! Messages between entry hosts.
+
+use heathertrack::clock::Time;
+use heathertrack::name::{DataCentre, Host};
+use heathertrack::pool::Load;
+use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
+use heathertrack_platform::{HostRecord, Item};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A message with the sender's clock, from which the receiver learns how long it was under way.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Envelope {
+    /// Sender's time since its start, in microseconds.
+    pub sent_us: u64,
+    pub frame: Frame,
+}
+
+/// A message between entry hosts.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum Frame {
+    /// First on each link, both ways.
+    Hello(Hello),
+    /// Sign of life, several a second.
+    Beat(Beat),
+    /// Hands a job to a dispatcher.
+    Submit(Submit),
+    /// The caller of a job has left.
+    Cancel {
+        /// The sender's number of the job.
+        call: u64,
+    },
+    /// How a job ended.
+    Ended {
+        /// The receiver's number of the job.
+        call: u64,
+        how: Ended,
+    },
+    /// Asks for the items that have changed after a revision.
+    Ask { after: u64 },
+    /// Items of the store, complete up to a revision.
+    Items { items: Vec<Copied>, revision: u64 },
+}
+
+/// Who the sender is.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    pub name: String,
+    pub data_centre: String,
+    pub peers: SocketAddr,
+    pub cpu_share: f64,
+}
+
+/// What the sender believes of itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// It is about to stop and takes no more jobs.
+    pub leaving: bool,
+    /// Revision of its copy of the store.
+    pub revision: u64,
+    /// Version of its configuration.
+    pub version: u64,
+    pub cores: f32,
+    pub busy: f32,
+    pub waiting: f32,
+    pub waiting_jobs: u32,
+    pub places: u32,
+}
+
+/// A job for a dispatcher. Times are relative, as clocks differ.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Submit {
+    pub call: u64,
+    pub id: String,
+    pub spec: String,
+    pub class: String,
+    pub service: String,
+    pub priority: u32,
+    pub max_attempts: u32,
+    pub steps: Vec<StepWire>,
+    /// Time since the caller's request was read, in microseconds.
+    pub age_us: u64,
+    pub objective_us: u64,
+    /// Time until the caller stops waiting, in microseconds.
+    pub left_us: u64,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub struct StepWire {
+    pub count: u32,
+    pub cpu: u32,
+    pub memory: u32,
+    pub accelerators: u32,
+    pub estimate_us: u64,
+    pub after: Vec<u32>,
+    pub label: Option<String>,
+    pub near: Option<String>,
+    pub max_per_upstream: u32,
+}
+
+/// How a job ended.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum Ended {
+    Completed,
+    Failed,
+    NotRun { retry_after_us: u64, why: String },
+    MayHaveRun { why: String },
+}
+
+/// An item of the store; no value if it was removed.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Copied {
+    pub key: String,
+    pub revision: u64,
+    pub value: Option<Vec<u8>>,
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<&HostRecord> for Hello {
+    fn from(record: &HostRecord) -> Self {
+        Hello {
+            name: record.name.to_string(),
+            data_centre: record.data_centre.to_string(),
+            peers: record.peers,
+            cpu_share: record.cpu_share,
+        }
+    }
+}
+
+impl From<Hello> for HostRecord {
+    fn from(wire: Hello) -> Self {
+        HostRecord {
+            name: Host::new(wire.name),
+            data_centre: DataCentre::new(wire.data_centre),
+            peers: wire.peers,
+            cpu_share: wire.cpu_share,
+        }
+    }
+}
+
+impl Beat {
+    /// The sender's load.
+    pub fn load(&self) -> Load {
+        Load {
+            cores: f64::from(self.cores),
+            busy: f64::from(self.busy),
+            waiting: f64::from(self.waiting),
+            waiting_jobs: self.waiting_jobs,
+            places: self.places,
+        }
+    }
+
+    /// Puts a load in.
+    pub fn with_load(mut self, load: &Load) -> Self {
+        self.cores = load.cores as f32;
+        self.busy = load.busy as f32;
+        self.waiting = load.waiting as f32;
+        self.waiting_jobs = load.waiting_jobs;
+        self.places = load.places;
+        self
+    }
+}
+
+impl Submit {
+    /// A job as it goes to a dispatcher now.
+    pub fn new(call: u64, job: &Request, now: Time) -> Self {
+        Submit {
+            call,
+            id: job.id.to_string(),
+            spec: job.spec.to_string(),
+            class: job.class.to_string(),
+            service: job.service.to_string(),
+            priority: job.priority,
+            max_attempts: job.max_attempts,
+            steps: job.steps.iter().map(StepWire::from).collect(),
+            age_us: micros(now.since(job.received)),
+            objective_us: micros(job.objective),
+            left_us: micros(job.deadline.since(now)),
+        }
+    }
+
+    /// The job as it came in now.
+    pub fn into_request(self, now: Time) -> Request {
+        Request {
+            id: Id::new(self.id),
+            spec: Arc::from(self.spec),
+            class: Arc::from(self.class),
+            service: Arc::from(self.service),
+            priority: self.priority,
+            max_attempts: self.max_attempts,
+            steps: self.steps.into_iter().map(Step::from).collect(),
+            received: now - Duration::from_micros(self.age_us),
+            objective: Duration::from_micros(self.objective_us),
+            deadline: now + Duration::from_micros(self.left_us),
+        }
+    }
+}
+
+impl From<&Step> for StepWire {
+    fn from(step: &Step) -> Self {
+        StepWire {
+            count: step.count,
+            cpu: step.needs.cpu,
+            memory: step.needs.memory,
+            accelerators: step.needs.accelerators,
+            estimate_us: micros(step.estimate),
+            after: step.after.clone(),
+            label: step.label.as_deref().map(str::to_owned),
+            near: step.near.as_deref().map(str::to_owned),
+            max_per_upstream: step.max_per_upstream,
+        }
+    }
+}
+
+impl From<StepWire> for Step {
+    fn from(wire: StepWire) -> Self {
+        Step {
+            count: wire.count,
+            needs: Needs { cpu: wire.cpu, memory: wire.memory, accelerators: wire.accelerators },
+            estimate: Duration::from_micros(wire.estimate_us),
+            after: wire.after,
+            label: wire.label.map(Arc::from),
+            near: wire.near.map(Arc::from),
+            max_per_upstream: wire.max_per_upstream,
+        }
+    }
+}
+
+impl From<&Outcome> for Ended {
+    fn from(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::Completed => Ended::Completed,
+            Outcome::Failed => Ended::Failed,
+            Outcome::NotRun { retry_after, why } => {
+                Ended::NotRun { retry_after_us: micros(*retry_after), why: (*why).to_owned() }
+            }
+            Outcome::MayHaveRun(why) => Ended::MayHaveRun { why: (*why).to_owned() },
+        }
+    }
+}
+
+impl From<Ended> for Outcome {
+    fn from(wire: Ended) -> Self {
+        match wire {
+            Ended::Completed => Outcome::Completed,
+            Ended::Failed => Outcome::Failed,
+            Ended::NotRun { retry_after_us, .. } => Outcome::NotRun {
+                retry_after: Duration::from_micros(retry_after_us),
+                why: "the dispatcher has no room for it",
+            },
+            Ended::MayHaveRun { .. } => Outcome::MayHaveRun("the dispatcher gave it up"),
+        }
+    }
+}
+
+impl From<&Item> for Copied {
+    fn from(item: &Item) -> Self {
+        Copied { key: item.key.clone(), revision: item.revision, value: item.value.clone() }
+    }
+}
+
+impl From<Copied> for Item {
+    fn from(wire: Copied) -> Self {
+        Item { key: wire.key, revision: wire.revision, value: wire.value }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -0,0 +1,227 @@
+//! The log on standard output: JSON lines, bounded for each kind, written by a thread of its own.
+
+use crate::log::Limiter;
+use heathertrack::name::{DataCentre, Host, Upstream};
+use heathertrack::pool::{Decision, StartAnswer};
+use heathertrack_platform::{Deployment, Fault, Start};
+use serde_json::{Value, json};
+use spdlog::formatter::{Formatter, FormatterContext};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, Record, StringBuf, ThreadPool};
+use std::fmt::{self, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Lines of one kind written per second; what is left out is counted in the next line of the kind.
+const PER_SECOND: u32 = 60;
+/// Lines that may wait for the writing thread; further ones are dropped rather than waited for.
+const QUEUE: usize = 2_048;
+
+/// The log of an entry host.
+pub struct Journal {
+    logger: Arc<Logger>,
+    limiter: Limiter,
+    host: String,
+    data_centre: String,
+}
+
+impl fmt::Debug for Journal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Journal").field("host", &self.host).finish_non_exhaustive()
+    }
+}
+
+/// Writes the line as it was composed.
+#[derive(Clone)]
+struct Plain;
+
+impl Formatter for Plain {
+    fn format(
+        &self,
+        record: &Record,
+        dest: &mut StringBuf,
+        _: &mut FormatterContext,
+    ) -> spdlog::Result<()> {
+        writeln!(dest, "{}", record.payload()).map_err(spdlog::Error::FormatRecord)
+    }
+}
+
+impl Journal {
+    /// Opens the log on standard output.
+    pub fn open(host: &Host, data_centre: &DataCentre) -> Result<Self, spdlog::Error> {
+        let sink: Arc<dyn Sink> = Arc::new(
+            StdStreamSink::builder().formatter(Plain).std_stream(StdStream::Stdout).build()?,
+        );
+        let threads = ThreadPool::builder()
+            .capacity(QUEUE.try_into().unwrap_or(std::num::NonZeroUsize::MIN))
+            .build()?;
+        let queue = AsyncPoolSink::builder()
+            .sink(sink)
+            .thread_pool(Arc::new(threads))
+            .overflow_policy(OverflowPolicy::DropIncoming)
+            .build()?;
+        let logger = Logger::builder()
+            .sink(Arc::new(queue))
+            .level_filter(LevelFilter::All)
+            .flush_level_filter(LevelFilter::All)
+            .build()?;
+        Ok(Journal {
+            logger: Arc::new(logger),
+            limiter: Limiter::new(PER_SECOND),
+            host: host.to_string(),
+            data_centre: data_centre.to_string(),
+        })
+    }
+
+    /// Writes a line, unless too many of its kind came in this second.
+    pub fn write(&self, event: &'static str, mut fields: Value) {
+        let Some(left_out) = self.limiter.allow(event) else { return };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        if let Some(fields) = fields.as_object_mut() {
+            fields.insert("event".to_owned(), event.into());
+            fields.insert("time_ms".to_owned(), (now.as_millis() as u64).into());
+            fields.insert("host".to_owned(), self.host.clone().into());
+            fields.insert("data_centre".to_owned(), self.data_centre.clone().into());
+            if left_out > 0 {
+                fields.insert("left_out".to_owned(), left_out.into());
+            }
+        }
+        spdlog::log!(logger: self.logger, Level::Info, "{fields}");
+    }
+
+    /// The process listens.
+    pub fn started(&self, deployment: &Deployment) {
+        let fields = json!({
+            "callers": deployment.callers.to_string(), "peers": deployment.peers.to_string(),
+            "store": deployment.store.to_string(), "cpu_share": deployment.cpu_share,
+            "process": std::process::id(),
+        });
+        self.write("started", fields);
+    }
+
+    /// The settings were read again.
+    pub fn reloaded(&self, seeds: &[SocketAddr], needs_restart: bool) {
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        self.write("reloaded", json!({ "seeds": seeds, "needs_restart": needs_restart }));
+    }
+
+    /// The settings could not be read again.
+    pub fn reload_failed(&self, why: &str) {
+        self.write("reload_failed", json!({ "why": why }));
+    }
+
+    /// A planned stop began.
+    pub fn stopping(&self) {
+        self.write("stopping", json!({}));
+    }
+
+    /// The process ends.
+    pub fn stopped(&self, after: Duration) {
+        self.write("stopped", json!({ "after_ms": ms(after) }));
+    }
+
+    /// The process was suspended.
+    pub fn resumed(&self, gap: Duration) {
+        self.write("resumed", json!({ "gap_ms": ms(gap) }));
+    }
+
+    /// A link to a peer came up.
+    pub fn peer_found(&self, peer: &Host) {
+        self.write("peer_found", json!({ "peer": peer.as_str() }));
+    }
+
+    /// A link to a peer ended.
+    pub fn peer_lost(&self, peer: &Host, why: &str, jobs: usize, calls: usize) {
+        let fields =
+            json!({ "peer": peer.as_str(), "why": why, "jobs_from": jobs, "jobs_to": calls });
+        self.write("peer_lost", fields);
+    }
+
+    /// A peer doesn't read what it is sent.
+    pub fn link_full(&self, peer: &Host) {
+        self.write("link_full", json!({ "peer": peer.as_str() }));
+    }
+
+    /// The store answers, or doesn't any more.
+    pub fn store(&self, answers: bool, why: &str, revision: u64) {
+        let event = if answers { "store_regained" } else { "store_lost" };
+        self.write(event, json!({ "why": why, "revision": revision }));
+    }
+
+    /// A configuration came into force.
+    pub fn configured(&self, version: u64, before: u64, revision: u64) {
+        let fields = json!({ "version": version, "before": before, "revision": revision });
+        self.write("configuration_in_force", fields);
+    }
+
+    /// An item of the store can't be understood.
+    pub fn unreadable(&self, key: &str, why: &str, revision: u64) {
+        self.write("item_unreadable", json!({ "key": key, "why": why, "revision": revision }));
+    }
+
+    /// The upstreams that this host dispatches to have changed.
+    pub fn owners(&self, owned: usize, upstreams: usize, hosts: usize) {
+        let fields = json!({ "owned": owned, "upstreams": upstreams, "live_hosts": hosts });
+        self.write("owners_changed", fields);
+    }
+
+    /// An order to start gave no run.
+    pub fn start_refused(&self, order: &Start, upstream: &Upstream, answer: StartAnswer) {
+        let fields = json!({
+            "id": order.task.job.as_str(), "task": order.task.to_string(), "run": order.number,
+            "upstream": upstream.as_str(), "answer": format!("{answer:?}"),
+        });
+        self.write("start_refused", fields);
+    }
+
+    /// A look at an upstream failed.
+    pub fn look_failed(&self, upstream: &Upstream, fault: &Fault) {
+        let fields = json!({ "upstream": upstream.as_str(), "why": fault.to_string() });
+        self.write("look_failed", fields);
+    }
+
+    /// A request was answered without running a job.
+    pub fn request_refused(&self, id: &str, status: u16, why: &str, version: u64) {
+        let fields = json!({ "id": id, "status": status, "why": why, "version": version });
+        self.write("request_refused", fields);
+    }
+
+    /// A job was answered.
+    pub fn job_ended(&self, event: &'static str, fields: Value) {
+        self.write(event, fields);
+    }
+
+    /// A decision of the dispatcher.
+    pub fn decision(&self, decision: &Decision) {
+        match decision {
+            Decision::Refused { job, why, waited, expected } => self.write(
+                "job_refused",
+                json!({ "id": job.as_str(), "why": why, "waited_ms": ms(*waited),
+                    "expected_wait_ms": ms(*expected) }),
+            ),
+            Decision::GivenUp { job, why, age } => self.write(
+                "job_given_up",
+                json!({ "id": job.as_str(), "why": why, "age_ms": ms(*age) }),
+            ),
+            Decision::TaskFailed { task, failures } => self.write(
+                "task_failed",
+                json!({ "id": task.job.as_str(), "task": task.to_string(), "failures": failures }),
+            ),
+            Decision::RunEnded { task, number, upstream, how, age } => self.write(
+                "run_ended",
+                json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
+                    "upstream": upstream.as_str(), "how": how, "age_ms": ms(*age) }),
+            ),
+            Decision::Upstream { upstream, state, age } => self.write(
+                "upstream_changed",
+                json!({ "upstream": upstream.as_str(), "state": state, "age_ms": ms(*age) }),
+            ),
+        }
+    }
+}
+
+/// Milliseconds with one decimal.
+pub fn ms(span: Duration) -> f64 {
+    (span.as_secs_f64() * 10_000.0).round() / 10.0
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/mirror.rs
@@ -0,0 +1,59 @@
+use heathertrack_platform::{Changes, Item};
+use std::collections::BTreeMap;
+
+/// Copy of the platform's store, item by item the newest that was seen.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
+impl Mirror {
+    /// Everything up to this revision was seen.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes changes; gives the items that are new.
+    pub fn take(&mut self, changes: Changes) -> Vec<Item> {
+        let mut fresh = Vec::new();
+        for item in changes.items {
+            let known = self.items.get(&item.key).map_or(0, |known| known.revision);
+            if item.revision > known {
+                self.items.insert(item.key.clone(), item.clone());
+                fresh.push(item);
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+        fresh
+    }
+
+    /// Takes all that the store holds; what it doesn't is removed. Gives the items that are new.
+    pub fn take_all(&mut self, changes: Changes) -> Vec<Item> {
+        let revision = changes.revision;
+        let held: std::collections::HashSet<String> =
+            changes.items.iter().map(|item| item.key.clone()).collect();
+        let lost = |item: &&Item| {
+            item.value.is_some() && item.revision <= revision && !held.contains(&item.key)
+        };
+        let removed: Vec<Item> = self
+            .items
+            .values()
+            .filter(lost)
+            .map(|item| Item { key: item.key.clone(), revision, value: None })
+            .collect();
+        let mut fresh = self.take(changes);
+        for item in removed {
+            self.items.insert(item.key.clone(), item.clone());
+            fresh.push(item);
+        }
+        fresh
+    }
+
+    /// The items that have changed after a revision, removals included.
+    pub fn after(&self, revision: u64) -> Changes {
+        let newer = |item: &&Item| item.revision > revision;
+        let items = self.items.values().filter(newer).cloned().collect();
+        Changes { items, revision: self.revision }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -0,0 +1,127 @@
+//! Which upstreams this host dispatches to, and who dispatches to the others.
+
+use super::node::{Adapter, Entry};
+use super::state::State;
+use heathertrack::clock::Time;
+use heathertrack::name::{DataCentre, Host, Upstream};
+use heathertrack::pool::{Candidate, dispatchers, owner};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time from the start within which links to all known hosts should be up; until then a host may
+/// wrongly think itself alone.
+const SETTLING: Duration = Duration::from_millis(500);
+/// Time for which a data centre has to be without a live host before hosts of others take over its
+/// upstreams: a process that was killed is back sooner.
+const DESERTED: Duration = Duration::from_millis(1_200);
+/// Time for which an upstream is kept without a record after an outage of the store (the users'
+/// pages: records are back within about two seconds).
+const RECORD_GRACE: Duration = Duration::from_millis(2_500);
+
+impl<A: Adapter> Entry<A> {
+    /// Works out the owners of all upstreams, if they may have changed.
+    pub(super) fn update_owners(self: &Rc<Self>) {
+        let now = self.now();
+        {
+            let mut state = self.state.borrow_mut();
+            state.drop_missing(now);
+            if !state.owners_stale || state.is_settling(&self.record.name, now) {
+                return;
+            }
+            state.owners_stale = false;
+            let candidates = self.candidates(&state);
+            let by_centre = state.upstreams_by_centre();
+            let mut owned = 0;
+            let mut all = Vec::new();
+            for (centre, upstreams) in by_centre {
+                let near = |candidate: &&Candidate| candidate.data_centre == centre;
+                let mut hosts: Vec<Candidate> = candidates.iter().filter(near).cloned().collect();
+                if hosts.is_empty() {
+                    let since = *state.deserted.entry(centre.clone()).or_insert(now);
+                    if now.since(since) < DESERTED {
+                        state.owners_stale = true;
+                    } else {
+                        hosts.clone_from(&candidates);
+                    }
+                } else {
+                    state.deserted.remove(&centre);
+                }
+                let chosen = dispatchers(&centre, upstreams.len(), &hosts);
+                for name in upstreams {
+                    let mine = owner(&name, &chosen) == Some(&self.record.name);
+                    owned += usize::from(mine);
+                    if let Some(record) = state.upstreams.get(&name).cloned() {
+                        state.pool.know(record, mine, None, now);
+                    }
+                }
+                for host in chosen {
+                    if !all.contains(&host) {
+                        all.push(host);
+                    }
+                }
+            }
+            state.forget_unrecorded(now);
+            if state.dispatchers != all {
+                self.journal.owners(owned, state.upstreams.len(), candidates.len());
+            }
+            state.dispatchers = all;
+        }
+        self.carry_out();
+    }
+
+    fn candidates(&self, state: &State) -> Vec<Candidate> {
+        let own = (!state.leaving).then(|| Candidate {
+            host: self.record.name.clone(),
+            data_centre: self.record.data_centre.clone(),
+            cpu_share: self.record.cpu_share,
+        });
+        let peers = state.peers.values().filter(|peer| !peer.leaving);
+        let peers = peers.map(|peer| Candidate {
+            host: peer.record.name.clone(),
+            data_centre: peer.record.data_centre.clone(),
+            cpu_share: peer.record.cpu_share,
+        });
+        let mut candidates: Vec<Candidate> = own.into_iter().chain(peers).collect();
+        candidates.sort_by(|one, other| one.host.cmp(&other.host));
+        candidates
+    }
+}
+
+impl State {
+    /// Whether this host has just started and doesn't have links to all hosts that it knows of.
+    fn is_settling(&self, own: &Host, now: Time) -> bool {
+        let linked = |host: &Host| host == own || self.peers.contains_key(host);
+        now < Time::ZERO + SETTLING && !self.hosts.keys().all(linked)
+    }
+
+    fn upstreams_by_centre(&self) -> BTreeMap<DataCentre, Vec<Upstream>> {
+        let mut centres: BTreeMap<DataCentre, Vec<Upstream>> = BTreeMap::new();
+        for (name, record) in &self.upstreams {
+            centres.entry(record.data_centre.clone()).or_default().push(name.clone());
+        }
+        centres
+    }
+
+    /// Drops upstreams whose records have been gone for too long.
+    fn drop_missing(&mut self, now: Time) {
+        let failed = self.store_failed;
+        let (gone, kept): (HashMap<_, _>, HashMap<_, _>) =
+            std::mem::take(&mut self.missing).into_iter().partition(|(_, since)| {
+                let outage = failed.is_some_and(|failed| now.since(failed) < RECORD_GRACE);
+                !outage && now.since(*since) >= RECORD_GRACE || failed.is_none()
+            });
+        self.missing = kept;
+        for name in gone.into_keys() {
+            self.upstreams.remove(&name);
+            self.owners_stale = true;
+        }
+    }
+
+    fn forget_unrecorded(&mut self, now: Time) {
+        let known: Vec<Upstream> = self.pool.known().cloned().collect();
+        for name in known.iter().filter(|name| !self.upstreams.contains_key(*name)) {
+            self.pool.missing(name, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/ready.rs
@@ -0,0 +1,43 @@
+//! Tells the balancer whether this host takes callers.
+
+use super::node::{Adapter, Entry};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Answers the balancer's question.
+pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>, listener: TcpListener) {
+    let entry = entry.clone();
+    spawn_local(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let entry = entry.clone();
+            spawn_local(async move {
+                let service = service_fn(|_| {
+                    let status = entry.readiness();
+                    let mut response = Response::new(String::new());
+                    *response.status_mut() = status;
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                // The balancer asks again on a new connection.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+}
+
+impl<A: Adapter> Entry<A> {
+    fn readiness(&self) -> StatusCode {
+        let state = self.state.borrow();
+        if state.leaving || state.table.is_none() {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/routing.rs
@@ -0,0 +1,43 @@
+//! Which dispatcher a job goes to.
+
+use super::node::{Adapter, Entry};
+use heathertrack::clock::Time;
+use heathertrack::name::Host;
+use heathertrack::pool::job::Step;
+use heathertrack::pool::routing::{Route, choose};
+
+/// Cost of the way to another host of the same data centre, as a share of its capacity.
+const NEAR: f64 = 0.02;
+/// Cost of the way to another data centre: messages between them are priced and take longer.
+const FAR: f64 = 0.08;
+
+impl<A: Adapter> Entry<A> {
+    /// The dispatcher for a job; none if no other than those in `tried` has upstreams.
+    pub(super) fn dispatcher(&self, steps: &[Step], tried: &[Host], now: Time) -> Option<Host> {
+        let state = self.state.borrow();
+        let mut routes: Vec<Route<&Host>> = Vec::new();
+        if !tried.contains(&self.record.name) {
+            let load = state.pool.load(now);
+            routes.push(Route { key: &self.record.name, load, handed_cores: 0.0, distance: 0.0 });
+        }
+        for (host, peer) in &state.peers {
+            if tried.contains(host) || peer.leaving {
+                continue;
+            }
+            let near = peer.record.data_centre == self.record.data_centre;
+            routes.push(Route {
+                key: host,
+                load: peer.load,
+                handed_cores: peer.handed_cores,
+                distance: if near { NEAR } else { FAR },
+            });
+        }
+        choose(routes, cores(steps)).cloned()
+    }
+}
+
+/// Cores that the tasks of a job take, all at once.
+pub fn cores(steps: &[Step]) -> f64 {
+    let cores = |step: &Step| f64::from(step.count) * f64::from(step.needs.cpu) / 1_000.0;
+    steps.iter().map(cores).fold(0.0, f64::max)
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -0,0 +1,112 @@
+use super::frame::Frame;
+use super::mirror::Mirror;
+use heathertrack::clock::Time;
+use heathertrack::name::{Host, Upstream};
+use heathertrack::pool::job::Outcome;
+use heathertrack::pool::{JobKey, Load, Options, Pool, upstream};
+use heathertrack::routes::Table;
+use heathertrack_platform::HostRecord;
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Everything that an entry host believes and has in progress.
+#[derive(Debug)]
+pub struct State {
+    pub pool: Pool,
+    pub mirror: Mirror,
+    /// The configuration in force.
+    pub table: Option<Rc<Table>>,
+    /// Usable records of upstreams.
+    pub upstreams: HashMap<Upstream, upstream::Record>,
+    /// Upstreams whose records are gone, and since when.
+    pub missing: HashMap<Upstream, Time>,
+    /// Hosts that the store or a peer named.
+    pub hosts: HashMap<Host, HostRecord>,
+    /// Hosts with a live link.
+    pub peers: HashMap<Host, Peer>,
+    /// Where the outcome of a job of the own pool goes.
+    pub replies: HashMap<JobKey, Reply>,
+    /// Jobs that were handed to other dispatchers.
+    pub calls: HashMap<u64, Handed>,
+    pub next_call: u64,
+    /// Jobs whose callers wait here.
+    pub callers: usize,
+    /// SIGTERM was received.
+    pub leaving: bool,
+    /// When the last event was handled; a long gap means that the process was suspended.
+    pub last_event: Time,
+    /// When the store last failed, if it has at all.
+    pub store_failed: Option<Time>,
+    /// The dispatchers of all data centres, among the live hosts.
+    pub dispatchers: Vec<Host>,
+    /// The owners of upstreams may have changed.
+    pub owners_stale: bool,
+    /// When a data centre was last seen without a live host.
+    pub deserted: HashMap<heathertrack::name::DataCentre, Time>,
+}
+
+/// Another entry host with a live link.
+#[derive(Debug)]
+pub struct Peer {
+    /// Tells links to the same host apart.
+    pub link: u64,
+    pub record: HostRecord,
+    pub frames: mpsc::Sender<Frame>,
+    pub leaving: bool,
+    pub load: Load,
+    /// Cores of the jobs that were handed over since that load was told.
+    pub handed_cores: f64,
+    pub revision: u64,
+    pub version: u64,
+    /// Jobs of the own pool that came from it, by its number.
+    pub jobs: HashMap<u64, JobKey>,
+    /// When it was last asked for items.
+    pub asked: Time,
+}
+
+/// Where the outcome of a job goes.
+#[derive(Debug)]
+pub enum Reply {
+    /// To a caller that waits here.
+    Here(oneshot::Sender<Outcome>),
+    /// To a peer, by its number of the job.
+    Peer(Host, u64),
+}
+
+/// A job that another dispatcher has.
+#[derive(Debug)]
+pub struct Handed {
+    pub host: Host,
+    pub reply: oneshot::Sender<Outcome>,
+}
+
+impl State {
+    /// Nothing is known yet.
+    pub fn new(options: Options) -> Self {
+        State {
+            pool: Pool::new(options),
+            mirror: Mirror::default(),
+            table: None,
+            upstreams: HashMap::new(),
+            missing: HashMap::new(),
+            hosts: HashMap::new(),
+            peers: HashMap::new(),
+            replies: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+            callers: 0,
+            leaving: false,
+            last_event: Time::ZERO,
+            store_failed: None,
+            dispatchers: Vec::new(),
+            owners_stale: true,
+            deserted: HashMap::new(),
+        }
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+}
--- /dev/null
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -0,0 +1,110 @@
+//! Hands a job to a dispatcher and waits for its outcome.
+
+use super::frame::{Frame, Submit};
+use super::node::{Adapter, Entry};
+use super::routing::cores;
+use super::state::{Handed, Reply};
+use heathertrack::name::Host;
+use heathertrack::pool::JobKey;
+use heathertrack::pool::job::{Outcome, Request};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Dispatchers that a job is offered to one after another, as long as none has started any of it.
+const OFFERS: usize = 2;
+/// Share of the objective after which a job that nobody has room for isn't offered again.
+const OFFER_SHARE: f64 = 0.2;
+/// What a caller is told to wait when no dispatcher is known: about the time of a takeover.
+const TAKEOVER: Duration = Duration::from_secs(2);
+
+/// A job in the hands of a dispatcher. Dropping it cancels the job.
+struct Offer<A: Adapter> {
+    entry: Rc<Entry<A>>,
+    place: Place,
+    outcome: oneshot::Receiver<Outcome>,
+}
+
+enum Place {
+    Here(JobKey),
+    Peer(Host, u64),
+}
+
+impl<A: Adapter> Drop for Offer<A> {
+    fn drop(&mut self) {
+        match &self.place {
+            Place::Here(job) => {
+                let known = self.entry.state.borrow_mut().replies.remove(job).is_some();
+                if known {
+                    self.entry.with_pool(|pool, now| pool.cancel(*job, now));
+                }
+            }
+            Place::Peer(host, call) => {
+                let mut state = self.entry.state.borrow_mut();
+                if state.calls.remove(call).is_none() {
+                    return;
+                }
+                let Some(peer) = state.peers.get(host) else { return };
+                if peer.frames.try_send(Frame::Cancel { call: *call }).is_err() {
+                    self.entry.journal.link_full(host);
+                }
+            }
+        }
+    }
+}
+
+impl<A: Adapter> Entry<A> {
+    /// Runs a job. Gives the dispatcher that had it last, and the outcome.
+    pub(super) async fn run_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
+        let mut tried: Vec<Host> = Vec::new();
+        let mut last = Outcome::NotRun { retry_after: TAKEOVER, why: "no dispatcher is known" };
+        while tried.len() < OFFERS {
+            let now = self.now();
+            let late = now.since(job.received) > job.objective.mul_f64(OFFER_SHARE);
+            if late && !tried.is_empty() {
+                break;
+            }
+            let Some(host) = self.dispatcher(&job.steps, &tried, now) else { break };
+            let mut offer = self.offer(&host, &job);
+            tried.push(host);
+            last = match (&mut offer.outcome).await {
+                Ok(outcome) => outcome,
+                Err(_) => Outcome::MayHaveRun("its dispatcher is gone"),
+            };
+            if !matches!(last, Outcome::NotRun { .. }) {
+                break;
+            }
+        }
+        (tried.pop(), last)
+    }
+
+    fn offer(self: &Rc<Self>, host: &Host, job: &Request) -> Offer<A> {
+        let (reply, outcome) = oneshot::channel();
+        let now = self.now();
+        let place = if *host == self.record.name {
+            let mut state = self.state.borrow_mut();
+            let key = state.pool.submit(job.clone(), now);
+            state.replies.insert(key, Reply::Here(reply));
+            Place::Here(key)
+        } else {
+            let mut state = self.state.borrow_mut();
+            state.next_call += 1;
+            let call = state.next_call;
+            let submit = Submit::new(call, job, now);
+            let sent = state.peers.get_mut(host).is_some_and(|peer| {
+                peer.handed_cores += cores(&job.steps);
+                peer.frames.try_send(Frame::Submit(submit)).is_ok()
+            });
+            if sent {
+                state.calls.insert(call, Handed { host: host.clone(), reply });
+            } else {
+                let why = "the dispatcher can't be reached";
+                // The receiver is held below.
+                let _ = reply.send(Outcome::NotRun { retry_after: TAKEOVER, why });
+            }
+            Place::Peer(host.clone(), call)
+        };
+        self.carry_out();
+        Offer { entry: self.clone(), place, outcome }
+    }
+}
--- a/crates/heathertrackd/src/lib.rs
+++ b/crates/heathertrackd/src/lib.rs
@@ -20,6 +20,7 @@
 mod clock;
 mod dispatch;
 mod drain;
+pub mod entry;
 mod gate;
 mod home;
 mod hosts;
--- a/crates/heathertrackd/src/log.rs
+++ b/crates/heathertrackd/src/log.rs
@@ -4,15 +4,18 @@
 mod limiter;
 
 pub use event::{Event, JobEvent};
+pub(crate) use limiter::Limiter;
 
 use heathertrack::name::{DataCentre, Host};
-use limiter::Limiter;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{StdStream, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger};
 use std::sync::Arc;
 use thiserror::Error;
 
+/// Events of one kind written per second.
+const PER_SECOND: u32 = 20;
+
 /// Writes events with the name of the host.
 #[derive(Clone, Debug)]
 pub struct Log {
@@ -42,7 +45,7 @@
             .build()?;
         Ok(Log {
             logger: Arc::new(logger),
-            limiter: Arc::default(),
+            limiter: Arc::new(Limiter::new(PER_SECOND)),
             host: host.clone(),
             data_centre: data_centre.clone(),
         })
--- a/crates/heathertrackd/src/log/limiter.rs
+++ b/crates/heathertrackd/src/log/limiter.rs
@@ -2,12 +2,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// Events of one kind written per second.
-const PER_SECOND: u32 = 20;
-
 /// Limits how often each kind of event is written.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Limiter {
+    per_second: u32,
     kinds: Mutex<HashMap<&'static str, Window>>,
 }
 
@@ -19,6 +17,11 @@
 }
 
 impl Limiter {
+    /// Allows so many events of one kind a second.
+    pub fn new(per_second: u32) -> Self {
+        Limiter { per_second, kinds: Mutex::default() }
+    }
+
     /// Whether an event of this kind may be written; if so, how many were left out before it.
     pub fn allow(&self, kind: &'static str) -> Option<u64> {
         let now = Instant::now();
@@ -29,7 +32,7 @@
             window.began = now;
             window.written = 0;
         }
-        if window.written >= PER_SECOND {
+        if window.written >= self.per_second {
             window.left_out += 1;
             return None;
         }
--- a/crates/heathertrackd/src/main.rs
+++ b/crates/heathertrackd/src/main.rs
@@ -1,41 +1,120 @@
 //! The dispatcher's daemon.
 
 use argh::FromArgs;
-use heathertrack_platform::{Etcd, HttpHostList};
+use heathertrack_adapter::{Jobs, Orders, Store};
+use heathertrack_platform::{Deployment, Etcd, HttpHostList};
+use heathertrackd::entry::{Adapter, Entry};
 use heathertrackd::{Node, Settings};
-use miette::{IntoDiagnostic, Report, WrapErr};
+use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit status when the settings have findings.
 const BAD_SETTINGS: u8 = 2;
 
+/// Time within which an upstream has to answer an order, besides what it is asked to wait. Answers
+/// come within a few milliseconds; the processor quota may hold this process up for most of a tenth
+/// of a second.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// The dispatcher's daemon, one on each entry host. Runs until SIGTERM or SIGINT, then ends its
-/// work and hands its records to a peer. Settings are read once, at the start.
+/// work and stops.
 #[derive(FromArgs)]
 struct Arguments {
-    /// file of settings, in JSON
+    /// file of settings, in JSON; they are read once, at the start
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// run on the users' platform, with the settings file that it names in HEATHERTRACK_BOOT
+    #[argh(switch)]
+    platform: bool,
+}
+
+/// The users' platform.
+#[derive(Clone)]
+struct UsersPlatform {
+    store: Store,
+    orders: Orders,
+    jobs: Jobs,
+}
+
+impl Adapter for UsersPlatform {
+    type Metadata = Store;
+    type Upstreams = Orders;
+    type Front = Jobs;
+
+    fn metadata(&self) -> &Store {
+        &self.store
+    }
+
+    fn upstreams(&self) -> &Orders {
+        &self.orders
+    }
+
+    fn front(&self) -> &Jobs {
+        &self.jobs
+    }
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match read(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(report) => {
+    let run = match (&arguments.settings, arguments.platform) {
+        (_, true) => read_deployment().map(run_on_platform),
+        (Some(path), false) => read(path).map(run),
+        (None, false) => Err(miette!("either --settings or --platform is needed")),
+    };
+    match run {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(report)) => {
             eprintln!("{report:?}");
-            return ExitCode::from(BAD_SETTINGS);
+            ExitCode::FAILURE
         }
-    };
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
-            ExitCode::FAILURE
+            ExitCode::from(BAD_SETTINGS)
+        }
+    }
+}
+
+fn read_deployment() -> Result<Deployment, Report> {
+    let variable = heathertrack_adapter::settings::PATH_VARIABLE;
+    let path = std::env::var_os(variable).ok_or_else(|| miette!("{variable} is not set"))?;
+    let text = std::fs::read_to_string(&path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    heathertrack_adapter::settings::read(&text)
+        .map_err(|findings| miette!("{}: {}", path.display(), findings.join("; ")))
+}
+
+fn run_on_platform(deployment: Deployment) -> Result<(), Report> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve_on_platform(deployment))
+}
+
+async fn serve_on_platform(deployment: Deployment) -> Result<(), Report> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
+    let platform = UsersPlatform {
+        store: Store::open(deployment.store),
+        orders: Orders::open(ORDER_TIMEOUT),
+        jobs: Jobs,
+    };
+    let entry = Entry::bind(deployment, platform).await.into_diagnostic()?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match read_deployment() {
+                Ok(deployment) => entry.reload(&deployment),
+                Err(report) => entry.reload_failed(&report.to_string()),
+            },
         }
     }
+    entry.stop().await;
+    Ok(())
 }
 
 fn read(path: &PathBuf) -> Result<Settings, Report> {
