Let few large dispatchers own the upstreams of a data centre

Cause: with 24 upstreams a dispatcher, a data centre of 117 upstreams had five queues; entry hosts saw their loads up to 80 ms late and all chose the same one, which refused jobs while others had room. Ruled out: the processor (0.03 of a core at most), rejected starts (18). Change: dispatchers are chosen by what their processors carry, 240 upstreams a core. Looks at an upstream with ends of another dispatcher pause for 40 ms; they were answered at once, in a loop.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -8,6 +8,9 @@
 
 /// Time that a listed end of a run unknown here is left to the dispatcher that started it.
 const STRANGE_END: Duration = Duration::from_secs(1);
+/// Pause between looks while such ends are listed: the upstream answers at once as long as an end
+/// isn't acknowledged.
+const STRANGE_PAUSE: Duration = Duration::from_millis(40);
 /// Failed looks in a row after which looks no longer prolong the lease: the answers may be lost on
 /// their way only, and what runs there unseen has to end.
 const BLIND_LOOKS: u32 = 2;
@@ -177,6 +180,8 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.look_due = if upstream.tenure == Tenure::Taking {
             now + TAKING_PAUSE
+        } else if !upstream.runs.is_empty() && !upstream.strange_ends.is_empty() {
+            now + STRANGE_PAUSE
         } else if !upstream.runs.is_empty() {
             now
         } else if upstream.owes_acknowledgement {
--- a/crates/heathertrack/src/pool/ownership.rs
+++ b/crates/heathertrack/src/pool/ownership.rs
@@ -1,9 +1,10 @@
 use crate::membership::rendezvous;
 use crate::name::{DataCentre, Host, Upstream};
 
-/// Upstreams that one dispatcher is to own at most, if there are hosts enough: its share of a core
-/// carries the starts of as many.
-const UPSTREAMS_EACH: usize = 24;
+/// Upstreams that a dispatcher can own for each core that it has. At the peak of the users' load an
+/// upstream costs its dispatcher about a thousandth of a core (docs/MEASUREMENTS.md); the rest is
+/// left for callers, bursts and takeovers.
+const UPSTREAMS_PER_CORE: f64 = 240.0;
 
 /// A host that could dispatch.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,15 +27,16 @@
     upstreams: usize,
     candidates: &[Candidate],
 ) -> Vec<Host> {
-    let wanted = upstreams.div_ceil(UPSTREAMS_EACH).max(1);
     let mut left: Vec<&Candidate> = candidates.iter().collect();
     let mut chosen = Vec::new();
-    while chosen.len() < wanted && !left.is_empty() {
+    let mut carried = 0.0;
+    while (chosen.is_empty() || carried < upstreams as f64) && !left.is_empty() {
         let largest = left.iter().map(|c| c.cpu_share).fold(0.0, f64::max);
         let hosts = left.iter().filter(|c| c.cpu_share >= largest).map(|c| &c.host);
         let role = format!("dispatcher {data_centre} {}", chosen.len());
         let Some(host) = rendezvous(&role, hosts).cloned() else { break };
         left.retain(|candidate| candidate.host != host);
+        carried += largest * UPSTREAMS_PER_CORE;
         chosen.push(host);
     }
     chosen
