--- a/crates/heathertrack/src/pool/durations.rs
+++ b/crates/heathertrack/src/pool/durations.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 /// Learned ratio between real and declared durations of each class, as logarithms.
 #[derive(Debug, Default)]
 pub(super) struct Durations {
-    classes: HashMap<Arc<str>, f64>,
+    classes: BTreeMap<Arc<str>, f64>,
 }
 
 impl Durations {
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -14,7 +14,7 @@
 use crate::clock::Time;
 use crate::name;
 use slotmap::SlotMap;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Jobs, upstreams and runs of one dispatcher.
@@ -22,11 +22,11 @@
 pub struct Pool {
     options: Options,
     upstreams: SlotMap<UpstreamKey, Upstream>,
-    names: HashMap<name::Upstream, UpstreamKey>,
+    names: BTreeMap<name::Upstream, UpstreamKey>,
     jobs: SlotMap<JobKey, Job>,
-    ids: HashMap<Id, JobKey>,
+    ids: BTreeMap<Id, JobKey>,
     runs: SlotMap<RunKey, Run>,
-    tasks: HashMap<(Task, u32), RunKey>,
+    tasks: BTreeMap<(Task, u32), RunKey>,
     durations: Durations,
     sequence: u64,
     effects: Vec<Effect>,
--- a/crates/heathertrack/src/pool/task.rs
+++ b/crates/heathertrack/src/pool/task.rs
@@ -2,7 +2,7 @@
 use std::fmt;
 
 /// Names one task of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Task {
     /// The job.
     pub job: Id,
--- a/crates/heathertrack/src/routes.rs
+++ b/crates/heathertrack/src/routes.rs
@@ -4,11 +4,12 @@
 //! use heathertrack::routes::{Route, Table};
 //!
 //! let route = Route { host: "shop.example".into(), prefix: "/quote/".into(), ..Route::default() };
-//! let table = Table { version: 1, routes: vec![route], ..Table::default() };
+//! let table = Table::new(1, vec![route], Default::default());
 //! assert!(table.find("shop.example", "/quote/17").is_some());
 //! assert!(table.find("shop.example", "/other/17").is_none());
 //! ```
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +18,8 @@
 pub struct Table {
     /// Grows with every change.
     pub version: u64,
-    /// All routes.
-    pub routes: Vec<Route>,
+    /// All routes, by the host that they name in lower case: there may be thousands.
+    routes: BTreeMap<String, Vec<Route>>,
     /// Bounds of requests.
     pub limits: Limits,
 }
@@ -74,12 +75,21 @@
 }
 
 impl Table {
+    /// A version with these routes.
+    pub fn new(version: u64, routes: impl IntoIterator<Item = Route>, limits: Limits) -> Self {
+        let mut by_host: BTreeMap<String, Vec<Route>> = BTreeMap::new();
+        for route in routes {
+            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(route);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Table { version, routes: by_host, limits }
+    }
+
     /// The route of a request: the one with the longest prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.split(':').next().unwrap_or(host);
-        let fits = |route: &&Route| {
-            route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix)
-        };
-        self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        self.routes.get(&host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 }
--- /dev/null
+++ b/crates/heathertrack_model/src/journal.rs
@@ -0,0 +1,48 @@
+use spdlog::sink::{Sink, SinkProp, SinkPropAccess};
+use spdlog::{Record, formatter::Formatter};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Keeps the lines of all hosts' logs.
+#[derive(Default)]
+pub struct Lines {
+    prop: SinkProp,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Lines {
+    /// A sink that adds to `lines`.
+    pub fn new(lines: &Arc<Mutex<Vec<String>>>) -> Self {
+        Lines { prop: SinkProp::default(), lines: lines.clone() }
+    }
+}
+
+impl SinkPropAccess for Lines {
+    fn level_filter(&self) -> spdlog::LevelFilter {
+        self.prop.level_filter()
+    }
+
+    fn set_level_filter(&self, filter: spdlog::LevelFilter) {
+        self.prop.set_level_filter(filter);
+    }
+
+    fn set_formatter(&self, formatter: Box<dyn Formatter>) {
+        // Lines are kept as they are composed.
+        drop(formatter);
+    }
+
+    fn set_error_handler(&self, handler: spdlog::ErrorHandler) {
+        self.prop.set_error_handler(handler);
+    }
+}
+
+impl Sink for Lines {
+    fn log(&self, record: &Record) -> spdlog::Result<()> {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(record.payload().to_owned());
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/orders.rs
@@ -0,0 +1,188 @@
+//! Orders to emulated upstreams, with answers that are lost and orders that are carried out late.
+
+use super::network::{Network, Node};
+use super::upstream::Emulated;
+use heathertrack::name::Upstream;
+use heathertrack::pool::{Listing, StartAnswer, Task};
+use heathertrack_platform::{Fault, Look, Start, Upstreams};
+use rand::Rng;
+use rand::rngs::StdRng;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Time within which an order has to be answered, as in the daemon.
+const TIMEOUT: Duration = Duration::from_millis(60);
+
+/// What goes wrong with orders.
+#[derive(Debug, Default)]
+pub struct Mishaps {
+    /// Share of the orders that get no answer and are carried out seconds later.
+    pub late: Cell<f64>,
+    /// Share of the answers that are lost.
+    pub lost: Cell<f64>,
+}
+
+/// All emulated upstreams.
+pub type Fleet = Rc<RefCell<Vec<Rc<RefCell<Emulated>>>>>;
+
+/// Orders as one host gives them.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    pub network: Rc<Network>,
+    pub host: usize,
+    pub fleet: Fleet,
+    pub mishaps: Rc<Mishaps>,
+    pub random: Rc<RefCell<StdRng>>,
+}
+
+impl Orders {
+    fn find(&self, name: &Upstream) -> Option<(usize, Rc<RefCell<Emulated>>)> {
+        let fleet = self.fleet.borrow();
+        let index = fleet.iter().position(|upstream| upstream.borrow().name() == name)?;
+        Some((index, fleet[index].clone()))
+    }
+
+    fn happens(&self, share: f64) -> bool {
+        share > 0.0 && self.random.borrow_mut().random_bool(share)
+    }
+
+    /// Carries an order there, and its answer back. `None` if nobody listens there.
+    async fn give<T: 'static>(
+        &self,
+        name: &Upstream,
+        order: impl FnOnce(&mut Emulated, bool, Instant) -> T + 'static,
+    ) -> Option<T> {
+        let (index, upstream) = self.find(name)?;
+        let (own, there) = (Node::Host(self.host), Node::Upstream(index));
+        self.network.carry(own, there).await;
+        if upstream.borrow().down {
+            self.network.carry(there, own).await;
+            return None;
+        }
+        if self.happens(self.mishaps.late.get()) {
+            let seconds = self.random.borrow_mut().random_range(2.0..12.0);
+            // Outside of the host's tasks, so that it is carried out even if the host has died.
+            self.network.later(spawn_later(upstream, seconds, order));
+            return pending().await;
+        }
+        let answer = order(&mut upstream.borrow_mut(), false, Instant::now());
+        if self.happens(self.mishaps.lost.get()) {
+            pending::<()>().await;
+        }
+        self.network.carry(there, own).await;
+        Some(answer)
+    }
+}
+
+fn spawn_later<T: 'static>(
+    upstream: Rc<RefCell<Emulated>>,
+    seconds: f64,
+    order: impl FnOnce(&mut Emulated, bool, Instant) -> T + 'static,
+) -> impl Future<Output = ()> + 'static {
+    async move {
+        sleep(Duration::from_secs_f64(seconds)).await;
+        if !upstream.borrow().down {
+            order(&mut upstream.borrow_mut(), true, Instant::now());
+        }
+    }
+}
+
+impl Upstreams for Orders {
+    async fn start(
+        &self,
+        _: &str,
+        upstream: &Upstream,
+        order: &Start,
+    ) -> (StartAnswer, Option<u64>) {
+        let order = order.clone();
+        let start = move |upstream: &mut Emulated, late: bool, now: Instant| {
+            let answer = upstream.start(&order.task, order.number, order.until_ms, late, now);
+            (answer, Some(upstream.clock_ms(now)))
+        };
+        match timeout(TIMEOUT, self.give(upstream, start)).await {
+            Ok(Some(answer)) => answer,
+            Ok(None) => (StartAnswer::Unreachable, None),
+            Err(_) => (StartAnswer::Unknown, None),
+        }
+    }
+
+    async fn stop(
+        &self,
+        _: &str,
+        upstream: &Upstream,
+        task: &Task,
+        number: u32,
+    ) -> Result<Option<u64>, Fault> {
+        let task = task.clone();
+        let stop = move |upstream: &mut Emulated, _: bool, now: Instant| {
+            upstream.stop(&task, number, now);
+            upstream.clock_ms(now)
+        };
+        match timeout(TIMEOUT, self.give(upstream, stop)).await {
+            Ok(Some(clock_ms)) => Ok(Some(clock_ms)),
+            Ok(None) => Err(Fault::Refused("nobody listens".to_owned())),
+            Err(_) => Err(Fault::AnswerLost("no answer".to_owned())),
+        }
+    }
+
+    async fn look(&self, _: &str, upstream: &Upstream, look: &Look) -> Result<Listing, Fault> {
+        let look = *look;
+        let look_at = async {
+            let hold = move |upstream: &mut Emulated, _: bool, now: Instant| {
+                upstream.hold(look.until_ms, look.acknowledged, now);
+            };
+            self.give(upstream, hold).await?;
+            let (index, emulated) = self.find(upstream)?;
+            wait(&emulated, look.acknowledged, Instant::now() + look.wait).await;
+            let listing = emulated.borrow_mut().list(Instant::now());
+            self.network.carry(Node::Upstream(index), Node::Host(self.host)).await;
+            Some(listing)
+        };
+        match timeout(TIMEOUT + look.wait, look_at).await {
+            Ok(Some(listing)) => Ok(listing),
+            Ok(None) => Err(Fault::Refused("nobody listens".to_owned())),
+            Err(_) => Err(Fault::AnswerLost("no answer".to_owned())),
+        }
+    }
+}
+
+/// Waits until an end is listed that isn't taken note of.
+async fn wait(upstream: &Rc<RefCell<Emulated>>, acknowledged: u64, until: Instant) {
+    loop {
+        let now = Instant::now();
+        upstream.borrow_mut().advance(now);
+        if upstream.borrow().has_news(acknowledged) || now >= until {
+            return;
+        }
+        let next = upstream.borrow().next_end().unwrap_or(until).min(until);
+        let changed = upstream.borrow().changed.clone();
+        tokio::select! {
+            biased;
+            () = changed.notified() => {}
+            () = sleep_until(next) => {}
+        }
+    }
+}
+
+impl Network {
+    /// Lets something happen that no host's end prevents.
+    pub fn later(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.borrow_mut().push(Box::pin(task));
+        self.more.notify_one();
+    }
+
+    /// Runs what was put off; to be run outside of the hosts.
+    pub async fn run_later(self: Rc<Self>) {
+        loop {
+            self.more.notified().await;
+            let tasks = std::mem::take(&mut *self.tasks.borrow_mut());
+            for task in tasks {
+                spawn_local(task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/process.rs
@@ -0,0 +1,90 @@
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// A process: a set of tasks that can be suspended and killed together.
+#[derive(Clone, Debug)]
+pub struct Process {
+    inner: Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    tasks: RefCell<LocalSet>,
+    frozen: Cell<bool>,
+    dead: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Process {
+    /// Starts a process without tasks.
+    pub fn spawn() -> Self {
+        let inner = Rc::new(Inner {
+            tasks: RefCell::new(LocalSet::new()),
+            frozen: Cell::new(false),
+            dead: Cell::new(false),
+            waker: RefCell::new(None),
+        });
+        spawn_local(Runner(inner.clone()));
+        Process { inner }
+    }
+
+    /// Runs a task in the process.
+    pub fn run<T: 'static>(&self, task: impl Future<Output = T> + 'static) -> JoinHandle<T> {
+        let handle = self.inner.tasks.borrow().spawn_local(task);
+        self.wake();
+        handle
+    }
+
+    /// Suspends the process, or lets it go on.
+    pub fn freeze(&self, frozen: bool) {
+        self.inner.frozen.set(frozen);
+        self.wake();
+    }
+
+    /// Whether it is suspended.
+    pub fn is_frozen(&self) -> bool {
+        self.inner.frozen.get()
+    }
+
+    /// Ends the process and all its tasks.
+    pub fn kill(&self) {
+        self.inner.dead.set(true);
+        let tasks = self.inner.tasks.replace(LocalSet::new());
+        drop(tasks);
+        self.wake();
+    }
+
+    /// Whether it was ended.
+    pub fn is_dead(&self) -> bool {
+        self.inner.dead.get()
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.inner.waker.borrow().as_ref() {
+            waker.wake_by_ref();
+        }
+    }
+}
+
+struct Runner(Rc<Inner>);
+
+impl Future for Runner {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        *self.0.waker.borrow_mut() = Some(context.waker().clone());
+        if self.0.dead.get() {
+            return Poll::Ready(());
+        }
+        if self.0.frozen.get() {
+            return Poll::Pending;
+        }
+        let mut tasks = self.0.tasks.borrow_mut();
+        // The set is done when it has no tasks; more may be added later.
+        let _ = Pin::new(&mut *tasks).poll(context);
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/store.rs
@@ -0,0 +1,136 @@
+//! An emulated store of configuration, upstreams and hosts.
+
+use super::network::{Network, Node};
+use heathertrack::name::{Host, Upstream};
+use heathertrack_platform::{
+    Changes, Fact, Fault, HostRecord, Item, LeaseKey, Metadata, ReadFault, Subject,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Time within which a call has to be answered.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Key of the configuration.
+const CONFIGURATION: &str = "configuration";
+
+/// What the store holds.
+#[derive(Debug, Default)]
+pub struct Shelf {
+    items: RefCell<BTreeMap<String, Item>>,
+    facts: RefCell<Vec<Fact>>,
+    revision: Cell<u64>,
+    changed: Notify,
+    pub down: Cell<bool>,
+}
+
+impl Shelf {
+    /// Writes a fact.
+    pub fn put(&self, fact: Fact) {
+        let key = match &fact {
+            Fact::Configuration(_) => CONFIGURATION.to_owned(),
+            Fact::Upstream(record) => format!("upstream/{}", record.name),
+            Fact::Host(record) => format!("host/{}", record.name),
+        };
+        let mut facts = self.facts.borrow_mut();
+        facts.push(fact);
+        let value = ((facts.len() - 1) as u64).to_le_bytes().to_vec();
+        self.write(key, Some(value));
+    }
+
+    /// Removes an upstream's record.
+    pub fn remove_upstream(&self, name: &Upstream) {
+        self.write(format!("upstream/{name}"), None);
+    }
+
+    fn write(&self, key: String, value: Option<Vec<u8>>) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        self.items.borrow_mut().insert(key.clone(), Item { key, revision, value });
+        self.changed.notify_waiters();
+    }
+
+    fn after(&self, revision: u64) -> Changes {
+        let items = self.items.borrow();
+        let newer = items.values().filter(|item| item.revision > revision).cloned().collect();
+        Changes { items: newer, revision: self.revision.get() }
+    }
+}
+
+/// The store as one host sees it.
+#[derive(Clone, Debug)]
+pub struct Store {
+    pub shelf: Rc<Shelf>,
+    pub network: Rc<Network>,
+    pub host: usize,
+}
+
+impl Store {
+    async fn call<T>(&self, wait: Duration, answer: impl Future<Output = T>) -> Result<T, Fault> {
+        let own = Node::Host(self.host);
+        let call = async {
+            self.network.carry(own, Node::Store).await;
+            if self.shelf.down.get() {
+                return Err(Fault::BadAnswer("unavailable".to_owned()));
+            }
+            let answer = answer.await;
+            self.network.carry(Node::Store, own).await;
+            Ok(answer)
+        };
+        let lost = |_| Fault::AnswerLost("no answer".to_owned());
+        timeout(TIMEOUT + wait, call).await.map_err(lost)?
+    }
+}
+
+impl Metadata for Store {
+    async fn read(&self) -> Result<Changes, Fault> {
+        self.call(Duration::ZERO, async { self.shelf.after(0) }).await
+    }
+
+    async fn changes(&self, after: u64, wait: Duration) -> Result<Changes, ReadFault> {
+        let answer = async {
+            let news = async {
+                while self.shelf.revision.get() <= after {
+                    self.shelf.changed.notified().await;
+                }
+            };
+            // Without news the answer is empty.
+            let _ = timeout(wait, news).await;
+            self.shelf.after(after)
+        };
+        Ok(self.call(wait, answer).await?)
+    }
+
+    async fn announce(&self, host: &HostRecord, _: Duration) -> Result<LeaseKey, Fault> {
+        self.call(Duration::ZERO, async { self.shelf.put(Fact::Host(host.clone())) }).await?;
+        Ok(LeaseKey(self.host as u64))
+    }
+
+    async fn renew(&self, _: LeaseKey) -> Result<bool, Fault> {
+        self.call(Duration::ZERO, async { true }).await
+    }
+
+    async fn withdraw(&self, _: LeaseKey) -> Result<(), Fault> {
+        self.call(Duration::ZERO, async {}).await
+    }
+
+    fn subject(&self, key: &str) -> Subject {
+        if key == CONFIGURATION {
+            return Subject::Configuration;
+        }
+        match key.split_once('/') {
+            Some(("upstream", name)) => Subject::Upstream(Upstream::new(name)),
+            Some(("host", name)) => Subject::Host(Host::new(name)),
+            _ => Subject::Other,
+        }
+    }
+
+    fn decode(&self, _: &str, value: &[u8]) -> Result<Fact, String> {
+        let index: [u8; 8] = value.try_into().map_err(|_| "not an index".to_owned())?;
+        let facts = self.shelf.facts.borrow();
+        facts.get(u64::from_le_bytes(index) as usize).cloned().ok_or("no such fact".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -0,0 +1,292 @@
+//! An emulated upstream: runs under leases, with the semantics that the users' pages promise.
+
+use heathertrack::name::Upstream;
+use heathertrack::pool::job::{Id, Needs};
+use heathertrack::pool::upstream::Record;
+use heathertrack::pool::{End, Ended, Listing, Row, StartAnswer, Task};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Longest lease that is granted.
+const LONGEST_LEASE_MS: u64 = 1_000;
+/// Time that a stop takes.
+const STOP: Duration = Duration::from_millis(50);
+
+/// What a job really takes, which only the emulation knows.
+#[derive(Clone, Debug)]
+pub struct Truth {
+    /// Duration of each task at usual speed.
+    pub work: Vec<Duration>,
+    /// What one task takes.
+    pub needs: Needs,
+    /// Whether its tasks fail wherever they run.
+    pub poison: bool,
+}
+
+/// What all upstreams know of the jobs.
+pub type Truths = Rc<RefCell<BTreeMap<Id, Truth>>>;
+
+/// A run as it was in fact.
+#[derive(Clone, Debug)]
+pub struct Interval {
+    pub task: Task,
+    pub began: Instant,
+    pub ended: Instant,
+    /// The order to start it was carried out late.
+    pub late: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    number: u32,
+    needs: Needs,
+    began: Instant,
+    ends: Instant,
+    how: Ended,
+    late: bool,
+}
+
+/// How an upstream misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mood {
+    /// All that it starts fails at once.
+    pub fails: bool,
+    /// All that it starts stands still.
+    pub hangs: bool,
+    /// Its work takes this many times as long, less one.
+    pub slower: f64,
+}
+
+/// An emulated upstream.
+#[derive(Debug)]
+pub struct Emulated {
+    pub record: Record,
+    pub speed: f64,
+    /// Rate of its clock against true time.
+    pub rate: f64,
+    pub mood: Mood,
+    pub down: bool,
+    born: Instant,
+    born_ms: u64,
+    lease_ms: u64,
+    sequence: u64,
+    running: BTreeMap<Task, Running>,
+    ended: Vec<End>,
+    /// Highest number of each task that was started, stopped or ended there.
+    numbers: BTreeMap<Task, u32>,
+    pub intervals: Vec<Interval>,
+    truths: Truths,
+    pub changed: Rc<Notify>,
+}
+
+impl Emulated {
+    /// An upstream without runs.
+    pub fn new(record: Record, speed: f64, rate: f64, truths: &Truths) -> Self {
+        Emulated {
+            record,
+            speed,
+            rate,
+            mood: Mood::default(),
+            down: false,
+            born: Instant::now(),
+            born_ms: 1,
+            lease_ms: 0,
+            sequence: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            numbers: BTreeMap::new(),
+            intervals: Vec::new(),
+            truths: truths.clone(),
+            changed: Rc::default(),
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &Upstream {
+        &self.record.name
+    }
+
+    /// Its clock, in milliseconds.
+    pub fn clock_ms(&self, now: Instant) -> u64 {
+        (now.duration_since(self.born).as_secs_f64() * 1_000.0 * self.rate) as u64
+    }
+
+    fn lapses(&self) -> Instant {
+        self.born + Duration::from_secs_f64(self.lease_ms as f64 / 1_000.0 / self.rate)
+    }
+
+    /// When something will end by itself.
+    pub fn next_end(&self) -> Option<Instant> {
+        let end = self.running.values().map(|run| run.ends).min()?;
+        Some(end.min(self.lapses()))
+    }
+
+    /// Ends what has ended up to now.
+    pub fn advance(&mut self, now: Instant) {
+        let lapses = self.lapses();
+        loop {
+            let next = self.running.iter().min_by_key(|(_, run)| run.ends);
+            let Some((task, run)) = next.map(|(task, run)| (task.clone(), run.clone())) else {
+                return;
+            };
+            let (at, how) =
+                if run.ends <= lapses { (run.ends, run.how) } else { (lapses, Ended::Lapsed) };
+            if at > now {
+                return;
+            }
+            self.finish(&task, at, how);
+        }
+    }
+
+    fn finish(&mut self, task: &Task, at: Instant, how: Ended) {
+        let Some(run) = self.running.remove(task) else { return };
+        self.intervals.push(Interval {
+            task: task.clone(),
+            began: run.began,
+            ended: at,
+            late: run.late,
+        });
+        self.sequence += 1;
+        let (sequence, number) = (self.sequence, run.number);
+        self.ended.push(End { sequence, task: Some(task.clone()), number, how });
+        self.changed.notify_waiters();
+    }
+
+    fn prolong(&mut self, until_ms: u64, now: Instant) {
+        let most = self.clock_ms(now) + LONGEST_LEASE_MS;
+        self.lease_ms = self.lease_ms.max(until_ms.min(most));
+    }
+
+    fn free(&self) -> Needs {
+        let mut used = Needs::default();
+        for run in self.running.values() {
+            used.add(&run.needs);
+        }
+        self.record.capacity.without(&used)
+    }
+
+    /// Carries out an order to start.
+    pub fn start(
+        &mut self,
+        task: &Task,
+        number: u32,
+        until_ms: u64,
+        late: bool,
+        now: Instant,
+    ) -> StartAnswer {
+        self.advance(now);
+        if until_ms <= self.clock_ms(now) {
+            return StartAnswer::TooLate;
+        }
+        if self.running.get(task).is_some_and(|run| run.number == number) {
+            self.prolong(until_ms, now);
+            return StartAnswer::Running;
+        }
+        let known = self.numbers.get(task).copied().unwrap_or_default();
+        if number <= known || self.running.contains_key(task) {
+            self.prolong(until_ms, now);
+            return StartAnswer::OldNumber;
+        }
+        let Some(truth) = self.truths.borrow().get(&task.job).cloned() else {
+            return StartAnswer::Unwell;
+        };
+        if !truth.needs.fits(&self.free()) {
+            self.prolong(until_ms, now);
+            return StartAnswer::NoRoom;
+        }
+        self.prolong(until_ms, now);
+        self.numbers.insert(task.clone(), number);
+        let work = truth.work.get(task.index as usize).copied().unwrap_or_default();
+        let work = work.mul_f64((1.0 + self.mood.slower) / self.speed);
+        let (ends, how) = if self.mood.hangs {
+            (now + Duration::from_secs(3_600), Ended::Gone)
+        } else if self.mood.fails || truth.poison {
+            (now + work / 4, Ended::Failed)
+        } else {
+            (now + work, Ended::Done)
+        };
+        let run = Running { number, needs: truth.needs, began: now, ends, how, late };
+        self.running.insert(task.clone(), run);
+        self.changed.notify_waiters();
+        StartAnswer::Running
+    }
+
+    /// Carries out an order to stop.
+    pub fn stop(&mut self, task: &Task, number: u32, now: Instant) {
+        self.advance(now);
+        let known = self.numbers.entry(task.clone()).or_default();
+        *known = (*known).max(number);
+        if let Some(run) = self.running.get_mut(task)
+            && run.number <= number
+            && run.ends > now + STOP
+        {
+            run.ends = now + STOP;
+            run.how = Ended::Stopped;
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Whether a look is answered at once.
+    pub fn has_news(&self, acknowledged: u64) -> bool {
+        self.ended.iter().any(|end| end.sequence > acknowledged)
+    }
+
+    /// Prolongs the lease, and forgets ends that are taken note of.
+    pub fn hold(&mut self, until_ms: Option<u64>, acknowledged: u64, now: Instant) {
+        self.advance(now);
+        if let Some(until_ms) = until_ms {
+            self.prolong(until_ms, now);
+        }
+        self.ended.retain(|end| end.sequence > acknowledged);
+    }
+
+    /// What it says of its runs.
+    pub fn list(&mut self, now: Instant) -> Listing {
+        self.advance(now);
+        let percent = |run: &Running| {
+            let whole = run.ends.duration_since(run.began).as_secs_f64().max(1e-6);
+            (now.duration_since(run.began).as_secs_f64() / whole * 100.0) as u32
+        };
+        let row = |(task, run): (&Task, &Running)| Row {
+            task: task.clone(),
+            number: run.number,
+            percent: percent(run),
+        };
+        Listing {
+            clock_ms: self.clock_ms(now),
+            born_ms: self.born_ms,
+            running: self.running.iter().map(row).collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// It crashes and starts anew, under the same name.
+    pub fn crash(&mut self, now: Instant) {
+        self.advance(now);
+        let tasks: Vec<Task> = self.running.keys().cloned().collect();
+        for task in tasks {
+            self.finish(&task, now, Ended::Gone);
+        }
+        self.ended.clear();
+        self.numbers.clear();
+        self.sequence = 0;
+        self.lease_ms = 0;
+        self.born = now;
+        self.born_ms += 1;
+        self.record.born_ms = Some(self.born_ms);
+        self.changed.notify_waiters();
+    }
+
+    /// Closes the record of what is still running.
+    pub fn close(&mut self, now: Instant) {
+        self.advance(now);
+        let tasks: Vec<Task> = self.running.keys().cloned().collect();
+        for task in tasks {
+            self.finish(&task, now, Ended::Gone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/world.rs
@@ -0,0 +1,580 @@
+//! Hosts, upstreams, store and callers of a run.
+
+use super::clock::Virtual;
+use super::environment::{Emulation, NoFront};
+use super::fault::{Fault, Trouble};
+use super::journal::Lines;
+use super::load::{Drawn, EXTRA, STRETCH};
+use super::network::{Network, Node, Port};
+use super::orders::{Fleet, Mishaps, Orders};
+use super::plan::Plan;
+use super::process::Process;
+use super::store::{Shelf, Store};
+use super::upstream::{Emulated, Interval, Mood, Truth, Truths};
+use super::verdict::{Broken, Served, Verdict};
+use heathertrack::name::{DataCentre, Host, Upstream};
+use heathertrack::pool::Task;
+use heathertrack::pool::job::{Id, Needs, Outcome, Request};
+use heathertrack::pool::upstream::Record;
+use heathertrack::routes::{Limits, Table};
+use heathertrack_platform::{Deployment, Fact};
+use heathertrackd::entry::{Clock, Entry, Journal};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time between the start of the hosts and that of the callers.
+const LEAD: Duration = Duration::from_secs(3);
+/// Time for everything to end after the last caller has come.
+const TAIL: Duration = Duration::from_secs(15);
+/// Time after which a caller sends a job again whose answer is missing.
+const RESEND: Duration = Duration::from_millis(1_300);
+/// One-way delay between callers and hosts.
+const CALLER: Duration = Duration::from_millis(1);
+/// Submissions of one job at most.
+const SUBMISSIONS: usize = 3;
+/// Slack of an answer against its deadline.
+const SLACK: Duration = Duration::from_millis(300);
+/// Time that a host is given for a planned stop.
+const GRACE: Duration = Duration::from_secs(6);
+/// Late answers are of use up to this multiple of the objective.
+const LATE: u32 = 3;
+/// What a late answer is worth against one in time.
+const LATE_WORTH: f64 = 0.2;
+
+struct Machine {
+    process: Process,
+    entry: Rc<RefCell<Option<Rc<Entry<Emulation>>>>>,
+    /// Callers are sent elsewhere.
+    out: bool,
+    /// Disturbed lately: answers from it may be missing.
+    disturbed: Cell<Instant>,
+}
+
+/// Everything in a run.
+pub struct World {
+    plan: Plan,
+    network: Rc<Network>,
+    shelf: Rc<Shelf>,
+    fleet: Fleet,
+    truths: Truths,
+    mishaps: Rc<Mishaps>,
+    random: Rc<RefCell<StdRng>>,
+    machines: RefCell<Vec<Machine>>,
+    lines: Arc<Mutex<Vec<String>>>,
+    served: RefCell<Vec<Served>>,
+    refused: RefCell<BTreeSet<Id>>,
+    broken: RefCell<Vec<Broken>>,
+    burst: Cell<f64>,
+    leaving: Cell<f64>,
+}
+
+/// Plays a run in virtual time.
+pub fn run(plan: &Plan) -> Verdict {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let Ok(runtime) = builder.enable_time().start_paused(true).build() else {
+        return Verdict::default();
+    };
+    LocalSet::new().block_on(&runtime, World::play(plan.clone()))
+}
+
+impl World {
+    async fn play(plan: Plan) -> Verdict {
+        let world = Rc::new(World::new(plan));
+        spawn_local(world.network.clone().run_later());
+        world.furnish();
+        for host in 0..world.plan.site.hosts() {
+            world.boot(host);
+            sleep(Duration::from_millis(40)).await;
+        }
+        sleep(LEAD).await;
+        for fault in world.plan.faults.clone() {
+            spawn_local(strike(world.clone(), fault));
+        }
+        let end = Instant::now() + world.plan.length;
+        while Instant::now() < end {
+            let rate = world.plan.load.per_second() * world.burst.get();
+            let pause = -world.random.borrow_mut().random_range(1e-9..1.0f64).ln() / rate;
+            sleep(Duration::from_secs_f64(pause)).await;
+            spawn_local(call(world.clone()));
+        }
+        sleep(TAIL).await;
+        world.judge()
+    }
+
+    fn new(plan: Plan) -> Self {
+        let random = StdRng::seed_from_u64(plan.seed);
+        let served = vec![Served::default(); plan.load.classes.len()];
+        let leaving = plan.load.leaving;
+        World {
+            plan,
+            network: Rc::default(),
+            shelf: Rc::default(),
+            fleet: Fleet::default(),
+            truths: Truths::default(),
+            mishaps: Rc::default(),
+            random: Rc::new(RefCell::new(random)),
+            machines: RefCell::default(),
+            lines: Arc::default(),
+            served: RefCell::new(served),
+            refused: RefCell::default(),
+            broken: RefCell::default(),
+            burst: Cell::new(1.0),
+            leaving: Cell::new(leaving),
+        }
+    }
+
+    /// Puts upstreams and the configuration in place.
+    fn furnish(&self) {
+        let site = &self.plan.site;
+        self.network.near.set(site.near);
+        self.network.far.set(site.far);
+        for index in 0..site.upstreams() {
+            let centre = index / site.upstreams_each;
+            self.network.place(Node::Upstream(index), centre);
+            let record = Record {
+                name: Upstream::new(format!("u{index}")),
+                address: format!("10.0.0.{index}:80"),
+                service: Arc::from("service"),
+                data_centre: centre_name(centre),
+                capacity: Needs {
+                    cpu: site.cpu[index % site.cpu.len()],
+                    memory: 32_768,
+                    accelerators: 0,
+                },
+                labels: Vec::new(),
+                draining: false,
+                born_ms: Some(1),
+            };
+            let rate = self.random.borrow_mut().random_range(0.98..1.0);
+            let speed = site.speeds[index % site.speeds.len()];
+            let upstream = Emulated::new(record.clone(), speed, rate, &self.truths);
+            self.fleet.borrow_mut().push(Rc::new(RefCell::new(upstream)));
+            self.shelf.put(Fact::Upstream(record));
+        }
+        self.shelf.put(Fact::Configuration(Table::new(1, [], Limits::default())));
+    }
+
+    /// Starts a host's process.
+    fn boot(&self, host: usize) {
+        let site = &self.plan.site;
+        let centre = host / site.hosts_each;
+        self.network.place(Node::Host(host), centre);
+        let address = |port: u16| SocketAddr::from(([10, 1, 0, host as u8], port));
+        let deployment = Deployment {
+            name: Host::new(format!("h{host}")),
+            data_centre: centre_name(centre),
+            callers: address(1),
+            ready: address(2),
+            peers: address(3),
+            store: address(4),
+            seeds: Vec::new(),
+            cpu_share: site.cpu_share,
+            grace: GRACE,
+        };
+        let (network, fleet) = (self.network.clone(), self.fleet.clone());
+        let environment = Emulation {
+            store: Store { shelf: self.shelf.clone(), network: network.clone(), host },
+            orders: Orders {
+                network: network.clone(),
+                host,
+                fleet,
+                mishaps: self.mishaps.clone(),
+                random: self.random.clone(),
+            },
+            port: Port { network, host },
+            clock: Virtual::start(),
+            front: NoFront,
+        };
+        let sink = Arc::new(Lines::new(&self.lines));
+        let process = Process::spawn();
+        let entry = Rc::new(RefCell::new(None));
+        if let Ok(journal) = Journal::to(&deployment.name, &deployment.data_centre, sink) {
+            let slot = entry.clone();
+            process.run(async move {
+                let bound = Entry::bind(deployment, environment, journal).await;
+                *slot.borrow_mut() = bound.ok();
+            });
+        }
+        let machine = Machine { process, entry, out: false, disturbed: Cell::new(Instant::now()) };
+        let mut machines = self.machines.borrow_mut();
+        if host < machines.len() {
+            machines[host] = machine;
+        } else {
+            machines.push(machine);
+        }
+    }
+
+    /// A host that callers are sent to.
+    fn pick(&self) -> Option<usize> {
+        let machines = self.machines.borrow();
+        let takes = |(index, machine): (usize, &Machine)| {
+            let bound = machine.entry.borrow().is_some();
+            (!machine.out && !machine.process.is_dead() && bound).then_some(index)
+        };
+        let hosts: Vec<usize> = machines.iter().enumerate().filter_map(takes).collect();
+        if hosts.is_empty() {
+            return None;
+        }
+        // The first hosts get more callers than the last: connections are spread by a hash.
+        let point: f64 = self.random.borrow_mut().random();
+        Some(hosts[((point * point) * hosts.len() as f64) as usize])
+    }
+
+    /// Submits a job to a host. `None` if the connection breaks or nothing comes by `patience`.
+    async fn submit(&self, request: Request, leaves: Option<Duration>) -> Answer {
+        let Some(host) = self.pick() else { return Answer::Broken };
+        sleep(CALLER).await;
+        let sent = Instant::now();
+        let patience = request.deadline.since(request.received);
+        let handle = {
+            let machines = self.machines.borrow();
+            let machine = &machines[host];
+            let Some(entry) = machine.entry.borrow().clone() else { return Answer::Broken };
+            if machine.process.is_dead() {
+                return Answer::Broken;
+            }
+            machine.process.run(async move {
+                let now = Clock::now(entry_clock(&entry));
+                let deadline = now + patience;
+                let request = Request { received: now, deadline, ..request };
+                let job = timeout(patience, entry.run_job(request));
+                job.await.map_or(Outcome::MayHaveRun("timeout"), |(_, outcome)| outcome)
+            })
+        };
+        let abort = handle.abort_handle();
+        let wait = leaves.unwrap_or(patience + SLACK);
+        match timeout(wait, handle).await {
+            Ok(Ok(outcome)) => {
+                sleep(CALLER).await;
+                Answer::Outcome(outcome)
+            }
+            Ok(Err(_)) => Answer::Broken,
+            Err(_) => {
+                abort.abort();
+                let machines = self.machines.borrow();
+                let machine = &machines[host];
+                let calm = machine.disturbed.get() < sent && !machine.process.is_frozen();
+                if leaves.is_some() {
+                    Answer::Left
+                } else if calm && !machine.process.is_dead() {
+                    Answer::Missing(sent.elapsed())
+                } else {
+                    Answer::Broken
+                }
+            }
+        }
+    }
+
+    fn disturb(&self, host: usize) {
+        let machines = self.machines.borrow();
+        machines[host].disturbed.set(Instant::now() + Duration::from_secs(1));
+    }
+
+    fn judge(&self) -> Verdict {
+        let now = Instant::now();
+        let mut runs: BTreeMap<Task, Vec<Interval>> = BTreeMap::new();
+        let mut wasted = 0.0;
+        for upstream in self.fleet.borrow().iter() {
+            let mut upstream = upstream.borrow_mut();
+            upstream.close(now);
+            for interval in &upstream.intervals {
+                runs.entry(interval.task.clone()).or_default().push(interval.clone());
+            }
+        }
+        let mut broken = std::mem::take(&mut *self.broken.borrow_mut());
+        let refused = self.refused.borrow();
+        for (task, intervals) in &mut runs {
+            intervals.sort_by_key(|interval| interval.began);
+            for pair in intervals.windows(2) {
+                if pair[1].began < pair[0].ended && !pair[0].late && !pair[1].late {
+                    let overlap = pair[0].ended - pair[1].began;
+                    broken.push(Broken::Twice { task: task.clone(), overlap });
+                }
+            }
+            if refused.contains(&task.job) && intervals.iter().any(|interval| !interval.late) {
+                broken.push(Broken::RanThoughRefused { task: task.clone() });
+            }
+            for spent in intervals.iter().rev().skip(1) {
+                wasted += spent.ended.duration_since(spent.began).as_secs_f64();
+            }
+        }
+        let classes = self.plan.load.classes.iter().map(|class| class.name);
+        let served = classes.zip(self.served.borrow().iter().copied()).collect();
+        let log = self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        Verdict { broken, served, runs: runs.values().map(Vec::len).sum(), wasted, log }
+    }
+}
+
+/// What a caller got.
+enum Answer {
+    Outcome(Outcome),
+    /// The connection broke, or the host was in trouble.
+    Broken,
+    /// It left by itself.
+    Left,
+    /// A host in good order gave no answer.
+    Missing(Duration),
+}
+
+fn centre_name(centre: usize) -> DataCentre {
+    DataCentre::new(format!("c{centre}"))
+}
+
+fn entry_clock(entry: &Rc<Entry<Emulation>>) -> &Virtual {
+    entry.clock()
+}
+
+/// One caller's job, from its first submission to the end.
+async fn call(world: Rc<World>) {
+    let (drawn, id, leaves) = {
+        let mut random = world.random.borrow_mut();
+        let drawn = world.plan.load.draw(&mut random);
+        let id = Id::new(format!("{:016x}", random.random::<u64>()));
+        let leaves = random.random_bool(world.leaving.get());
+        let leaves = leaves.then(|| drawn.objective.mul_f64(random.random_range(0.05..0.9)));
+        (drawn, id, leaves)
+    };
+    world.truths.borrow_mut().insert(
+        id.clone(),
+        Truth { work: drawn.work.clone(), needs: drawn.step.needs, poison: drawn.poison },
+    );
+    let began = Instant::now();
+    let mut refusals = 0;
+    let mut submissions = 0;
+    let outcome = loop {
+        submissions += 1;
+        let request = request(&world, &drawn, &id);
+        match world.submit(request, leaves).await {
+            Answer::Outcome(Outcome::NotRun { .. }) => {
+                refusals += 1;
+                break None;
+            }
+            Answer::Outcome(Outcome::MayHaveRun(_)) | Answer::Broken => {
+                if submissions == SUBMISSIONS {
+                    break None;
+                }
+                sleep(RESEND).await;
+            }
+            Answer::Outcome(outcome) => break Some(outcome),
+            Answer::Left => return,
+            Answer::Missing(waited) => {
+                let job = id.to_string();
+                world.broken.borrow_mut().push(Broken::NoAnswer { job, waited });
+                break None;
+            }
+        }
+    };
+    if refusals == submissions {
+        world.refused.borrow_mut().insert(id);
+    }
+    let age = began.elapsed();
+    let served = &mut world.served.borrow_mut()[drawn.class];
+    served.asked += 1;
+    served.owed += drawn.worth;
+    let right = match outcome {
+        Some(Outcome::Completed) => true,
+        Some(Outcome::Failed) => drawn.poison,
+        _ => false,
+    };
+    if right && age <= drawn.objective {
+        served.in_time += 1;
+        served.earned += drawn.worth;
+    } else if right && age <= drawn.objective * LATE {
+        served.late += 1;
+        served.earned += drawn.worth * LATE_WORTH;
+    } else if refusals > 0 {
+        served.refused += 1;
+    } else {
+        served.failed += 1;
+    }
+}
+
+fn request(world: &World, drawn: &Drawn, id: &Id) -> Request {
+    let class = &world.plan.load.classes[drawn.class];
+    let zero = heathertrack::clock::Time::ZERO;
+    let objective = drawn.step.estimate.mul_f64(STRETCH) + EXTRA;
+    Request {
+        id: id.clone(),
+        spec: Arc::from(""),
+        class: Arc::from(class.name),
+        service: Arc::from("service"),
+        priority: class.priority,
+        max_attempts: 3,
+        steps: vec![drawn.step.clone()],
+        received: zero,
+        objective,
+        deadline: zero + drawn.objective * LATE + RESEND,
+    }
+}
+
+/// Lets a fault happen, and mends it.
+async fn strike(world: Rc<World>, fault: Fault) {
+    sleep(fault.at).await;
+    match fault.trouble {
+        Trouble::Kill { host, down } => world.kill(&[host], false, down).await,
+        Trouble::Power { host, down } => world.kill(&[host], true, down).await,
+        Trouble::KillAll { down } => {
+            let all: Vec<usize> = (0..world.plan.site.hosts()).collect();
+            world.kill(&all, false, down).await;
+        }
+        Trouble::Freeze { host, span } => world.freeze(host, span).await,
+        Trouble::Stop { host } => world.stop(host).await,
+        Trouble::CutHosts { from, to, span } => {
+            world.cut(&[(Node::Host(from), Node::Host(to))], span).await;
+        }
+        Trouble::CutUpstreams { host, share, back, span } => {
+            let count = (world.plan.site.upstreams() as f64 * share).ceil() as usize;
+            let way = |upstream| {
+                let (host, upstream) = (Node::Host(host), Node::Upstream(upstream));
+                if back { (upstream, host) } else { (host, upstream) }
+            };
+            let ways: Vec<_> = (0..count).map(way).collect();
+            world.cut(&ways, span).await;
+        }
+        Trouble::CutCentre { centre, span } => world.cut_centre(centre, span).await,
+        Trouble::LateOrders { share, span } => {
+            during(&world.mishaps.late, share, 0.0, span).await;
+        }
+        Trouble::LostAnswers { share, span } => {
+            during(&world.mishaps.lost, share, 0.0, span).await;
+        }
+        Trouble::Crash { upstream, down } => {
+            let upstream = world.fleet.borrow()[upstream].clone();
+            upstream.borrow_mut().crash(Instant::now());
+            upstream.borrow_mut().down = true;
+            sleep(down).await;
+            upstream.borrow_mut().crash(Instant::now());
+            upstream.borrow_mut().down = false;
+            world.shelf.put(Fact::Upstream(upstream.borrow().record.clone()));
+        }
+        Trouble::Failing { upstream, span } => {
+            world.mood(upstream, Mood { fails: true, ..Mood::default() }, span).await;
+        }
+        Trouble::Hanging { upstream, span } => {
+            world.mood(upstream, Mood { hangs: true, ..Mood::default() }, span).await;
+        }
+        Trouble::Slow { upstream, factor, span } => {
+            world.mood(upstream, Mood { slower: factor - 1.0, ..Mood::default() }, span).await;
+        }
+        Trouble::Drain { upstream, after } => world.drain(upstream, after).await,
+        Trouble::StoreDown { span } => {
+            world.shelf.down.set(true);
+            sleep(span).await;
+            world.shelf.down.set(false);
+        }
+        Trouble::Burst { factor, span } => during(&world.burst, factor, 1.0, span).await,
+        Trouble::Leaving { share, span } => {
+            during(&world.leaving, share, world.plan.load.leaving, span).await;
+        }
+    }
+}
+
+async fn during(cell: &Cell<f64>, value: f64, usual: f64, span: Duration) {
+    cell.set(value);
+    sleep(span).await;
+    cell.set(usual);
+}
+
+impl World {
+    async fn kill(&self, hosts: &[usize], power: bool, down: Duration) {
+        for host in hosts {
+            self.disturb(*host);
+            if power {
+                self.network.darken(Node::Host(*host), true);
+            }
+            let process = self.machines.borrow()[*host].process.clone();
+            process.kill();
+        }
+        sleep(down).await;
+        for host in hosts {
+            self.network.darken(Node::Host(*host), false);
+            if self.machines.borrow()[*host].process.is_dead() {
+                self.boot(*host);
+            }
+        }
+    }
+
+    async fn freeze(&self, host: usize, span: Duration) {
+        let process = self.machines.borrow()[host].process.clone();
+        self.disturb(host);
+        process.freeze(true);
+        sleep(span).await;
+        process.freeze(false);
+        self.disturb(host);
+    }
+
+    async fn stop(&self, host: usize) {
+        let (process, entry) = {
+            let mut machines = self.machines.borrow_mut();
+            let machine = &mut machines[host];
+            machine.out = true;
+            (machine.process.clone(), machine.entry.borrow().clone())
+        };
+        let Some(entry) = entry else { return };
+        let stopped = process.run(async move { entry.stop().await });
+        // A host that hangs is killed at the end of its grace period.
+        let _ = timeout(GRACE, stopped).await;
+        process.kill();
+        sleep(Duration::from_millis(300)).await;
+        self.boot(host);
+    }
+
+    async fn cut(&self, ways: &[(Node, Node)], span: Duration) {
+        for (from, to) in ways {
+            self.network.cut(*from, *to, true);
+        }
+        for node in ways.iter().flat_map(|(from, to)| [from, to]) {
+            if let Node::Host(host) = node {
+                self.disturb(*host);
+            }
+        }
+        sleep(span).await;
+        for (from, to) in ways {
+            self.network.cut(*from, *to, false);
+        }
+    }
+
+    async fn cut_centre(&self, centre: usize, span: Duration) {
+        let hosts = (0..self.plan.site.hosts()).map(Node::Host);
+        let upstreams = (0..self.plan.site.upstreams()).map(Node::Upstream);
+        let nodes: Vec<Node> = hosts.chain(upstreams).chain([Node::Store]).collect();
+        let inside = |node: &Node| self.network.centre(*node) == Some(centre);
+        let mut ways = Vec::new();
+        for one in nodes.iter().filter(|node| inside(node)) {
+            for other in nodes.iter().filter(|node| !inside(node)) {
+                ways.push((*one, *other));
+                ways.push((*other, *one));
+            }
+        }
+        self.cut(&ways, span).await;
+    }
+
+    async fn mood(&self, upstream: usize, mood: Mood, span: Duration) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        upstream.borrow_mut().mood = mood;
+        sleep(span).await;
+        upstream.borrow_mut().mood = Mood::default();
+    }
+
+    async fn drain(&self, upstream: usize, after: Duration) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        let record = Record { draining: true, ..upstream.borrow().record.clone() };
+        self.shelf.put(Fact::Upstream(record.clone()));
+        sleep(after).await;
+        upstream.borrow_mut().crash(Instant::now());
+        upstream.borrow_mut().down = true;
+        self.shelf.remove_upstream(&record.name);
+        sleep(after).await;
+        upstream.borrow_mut().down = false;
+        let record = upstream.borrow().record.clone();
+        self.shelf.put(Fact::Upstream(record));
+    }
+}
--- a/crates/heathertrackd/src/entry.rs
+++ b/crates/heathertrackd/src/entry.rs
@@ -11,6 +11,7 @@
 mod journal;
 mod link;
 mod mirror;
+mod net;
 mod node;
 mod ownership;
 mod ready;
@@ -19,4 +20,7 @@
 mod submit;
 mod tick;
 
-pub use node::{Adapter, Entry, EntryError};
+pub use boot_clock::{BootClock, Clock};
+pub use journal::Journal;
+pub use net::{Net, Tcp};
+pub use node::{Entry, EntryError, Environment};
--- a/crates/heathertrackd/src/entry/boot_clock.rs
+++ b/crates/heathertrackd/src/entry/boot_clock.rs
@@ -1,6 +1,12 @@
 use heathertrack::clock::Time;
 use rustix::time::{ClockId, clock_gettime};
 
+/// A host's clock.
+pub trait Clock: Clone + 'static {
+    /// Time since the host's start.
+    fn now(&self) -> Time;
+}
+
 /// Clock that counts the time in which the host was suspended, since its first reading.
 #[derive(Clone, Copy, Debug)]
 pub struct BootClock {
@@ -12,9 +18,10 @@
     pub fn start() -> Self {
         BootClock { start_us: read_us() }
     }
+}
 
-    /// Time since the start.
-    pub fn now(&self) -> Time {
+impl Clock for BootClock {
+    fn now(&self) -> Time {
         Time::from_micros(read_us().saturating_sub(self.start_us))
     }
 }
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -1,7 +1,8 @@
 //! Callers' requests.
 
 use super::journal::ms;
-use super::node::{Adapter, Entry};
+use super::net::Net;
+use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
 use heathertrack::pool::job::{Id, Outcome, Request, longest_chain};
@@ -19,7 +20,6 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -31,12 +31,12 @@
 const LEAST_BUFFER: usize = 8 << 10;
 
 /// Serves callers.
-pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>, listener: TcpListener) {
+pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
     let entry = entry.clone();
     spawn_local(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match entry.environment.net().accept(&listener).await {
+                Ok(stream) => {
                     spawn_local(serve(entry.clone(), stream));
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -45,10 +45,7 @@
     });
 }
 
-async fn serve<A: Adapter>(entry: Rc<Entry<A>>, stream: TcpStream) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
+async fn serve<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream) {
     let limits = entry.limits();
     let service = service_fn(|request| {
         let entry = entry.clone();
@@ -64,22 +61,22 @@
 }
 
 /// Counts a caller that waits, until it is dropped.
-struct Waiting<A: Adapter>(Rc<Entry<A>>);
+struct Waiting<E: Environment>(Rc<Entry<E>>);
 
-impl<A: Adapter> Waiting<A> {
-    fn new(entry: &Rc<Entry<A>>) -> Self {
+impl<E: Environment> Waiting<E> {
+    fn new(entry: &Rc<Entry<E>>) -> Self {
         entry.state.borrow_mut().callers += 1;
         Waiting(entry.clone())
     }
 }
 
-impl<A: Adapter> Drop for Waiting<A> {
+impl<E: Environment> Drop for Waiting<E> {
     fn drop(&mut self) {
         self.0.state.borrow_mut().callers -= 1;
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     fn limits(&self) -> Limits {
         let state = self.state.borrow();
         state.table.as_ref().map(|table| table.limits.clone()).unwrap_or_default()
@@ -114,13 +111,15 @@
         let Some(route) = table.find(host, head.uri.path()) else {
             return self.refuse(head, StatusCode::NOT_FOUND, "no route", version);
         };
-        match self.adapter.front().call(head, &route.prefix) {
+        match self.environment.front().call(head, &route.prefix) {
             Err(status) => self.refuse(head, status, "not a request of this route", version),
             Ok(Call::Submit(id)) => self.submit(head, body, &table, route, id, received).await,
             // Every job's answer is that to its submission: nobody asks for one later.
             Ok(Call::State(_)) => self.refuse(head, StatusCode::GONE, "no such job", version),
             Ok(Call::Cancel(id)) => self.cancel(head, &id, version),
-            Ok(Call::Waiting) => self.adapter.front().waiting(self.waiting_jobs(&route.service)),
+            Ok(Call::Waiting) => {
+                self.environment.front().waiting(self.waiting_jobs(&route.service))
+            }
         }
     }
 
@@ -132,7 +131,7 @@
         version: u64,
     ) -> Response<String> {
         self.journal.request_refused(head.uri.path(), status.as_u16(), why, version);
-        self.adapter.front().refusal(status, why)
+        self.environment.front().refusal(status, why)
     }
 
     fn waiting_jobs(&self, service: &str) -> usize {
@@ -144,7 +143,7 @@
     fn cancel(self: &Rc<Self>, head: &Parts, id: &Id, version: u64) -> Response<String> {
         let cancelled = self.with_pool(|pool, now| pool.cancel_by_id(id, now));
         if cancelled {
-            return self.adapter.front().refusal(StatusCode::OK, "cancelled");
+            return self.environment.front().refusal(StatusCode::OK, "cancelled");
         }
         self.refuse(head, StatusCode::GONE, "no such job", version)
     }
@@ -173,7 +172,7 @@
                 return self.refuse(head, StatusCode::REQUEST_TIMEOUT, "body too slow", version);
             }
         };
-        let submission = match self.adapter.front().submission(&body) {
+        let submission = match self.environment.front().submission(&body) {
             Ok(submission) => submission,
             Err(findings) => {
                 let why = findings.join("; ");
@@ -185,7 +184,7 @@
             let why = format!("{what} are not offered; the job was not run");
             return self.refuse(head, StatusCode::SERVICE_UNAVAILABLE, &why, version);
         }
-        let patience = self.adapter.front().patience(head);
+        let patience = self.environment.front().patience(head);
         let job = request(id, submission, route, patience, received);
         self.run(job, version).await
     }
@@ -215,7 +214,7 @@
                 "dispatcher": dispatcher.as_ref().map(Host::as_str), "why": why(&outcome),
             }),
         );
-        self.adapter.front().outcome(&outcome)
+        self.environment.front().outcome(&outcome)
     }
 }
 
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -1,7 +1,8 @@
 //! Carries out what the dispatcher asks for.
 
+use super::boot_clock::Clock;
 use super::frame::Frame;
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use super::state::Reply;
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
@@ -16,7 +17,7 @@
 /// tried in a loop.
 const AGAIN: Duration = Duration::from_millis(20);
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Changes the dispatcher and carries out what it asks for.
     pub(super) fn with_pool<T>(self: &Rc<Self>, change: impl FnOnce(&mut Pool, Time) -> T) -> T {
         let now = self.now();
@@ -38,7 +39,7 @@
                     let Some((name, address)) = self.contact(upstream) else { continue };
                     let entry = self.clone();
                     spawn_local(async move {
-                        let upstreams = entry.adapter.upstreams();
+                        let upstreams = entry.environment.upstreams();
                         let answer = upstreams.stop(&address, &name, &task, number).await;
                         entry.stopped(upstream, run, answer).await;
                     });
@@ -65,7 +66,8 @@
         let Some((name, address)) = self.contact(upstream) else { return };
         let entry = self.clone();
         spawn_local(async move {
-            let (answer, clock_ms) = entry.adapter.upstreams().start(&address, &name, &order).await;
+            let (answer, clock_ms) =
+                entry.environment.upstreams().start(&address, &name, &order).await;
             if answer != StartAnswer::Running {
                 entry.journal.start_refused(&order, &name, answer);
             }
@@ -96,9 +98,9 @@
     fn look(self: &Rc<Self>, upstream: UpstreamKey, look: Look) {
         let Some((name, address)) = self.contact(upstream) else { return };
         let entry = self.clone();
-        let sent = self.clock.now();
+        let sent = self.environment.clock().now();
         spawn_local(async move {
-            match entry.adapter.upstreams().look(&address, &name, &look).await {
+            match entry.environment.upstreams().look(&address, &name, &look).await {
                 Ok(listing) => {
                     entry.with_pool(|pool, now| pool.listed(upstream, &listing, sent, now));
                 }
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store, and keeps this host's record there.
 
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use heathertrack_platform::{Changes, Fact, Item, LeaseKey, Metadata, ReadFault, Subject};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,13 +25,13 @@
 const RENEWAL: Duration = Duration::from_secs(3);
 
 /// Starts to follow the store.
-pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>) {
+pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>) {
     spawn_local(follow(entry.clone()));
     spawn_local(keep_record(entry.clone()));
 }
 
-async fn follow<A: Adapter>(entry: Rc<Entry<A>>) {
-    let store = entry.adapter.metadata().clone();
+async fn follow<E: Environment>(entry: Rc<Entry<E>>) {
+    let store = entry.environment.metadata().clone();
     let mut answers = true;
     let mut complete = false;
     loop {
@@ -66,8 +66,8 @@
     }
 }
 
-async fn keep_record<A: Adapter>(entry: Rc<Entry<A>>) {
-    let store = entry.adapter.metadata().clone();
+async fn keep_record<E: Environment>(entry: Rc<Entry<E>>) {
+    let store = entry.environment.metadata().clone();
     let mut lease: Option<LeaseKey> = None;
     loop {
         let pause = match lease {
@@ -92,11 +92,11 @@
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Ends this host's record.
     pub(super) async fn withdraw(&self) {
         if let Some(lease) = self.lease.get()
-            && let Err(fault) = self.adapter.metadata().withdraw(lease).await
+            && let Err(fault) = self.environment.metadata().withdraw(lease).await
         {
             self.journal.store(false, &fault.to_string(), 0);
         }
@@ -115,12 +115,12 @@
     }
 
     fn take_item(self: &Rc<Self>, item: &Item) {
-        let subject = self.adapter.metadata().subject(&item.key);
+        let subject = self.environment.metadata().subject(&item.key);
         if subject == Subject::Other {
             return;
         }
         let fact = item.value.as_deref().map(|value| {
-            let fact = self.adapter.metadata().decode(&item.key, value);
+            let fact = self.environment.metadata().decode(&item.key, value);
             fact.inspect_err(|why| self.journal.unreadable(&item.key, why, item.revision))
         });
         let now = self.now();
@@ -131,6 +131,7 @@
                 if table.version > before {
                     self.journal.configured(table.version, before, item.revision);
                     state.table = Some(Rc::new(table));
+                    state.catch_up.reached();
                 }
             }
             (_, Some(Ok(Fact::Upstream(record)))) => {
--- a/crates/heathertrackd/src/entry/journal.rs
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -61,8 +61,17 @@
             .thread_pool(Arc::new(threads))
             .overflow_policy(OverflowPolicy::DropIncoming)
             .build()?;
+        Self::to(host, data_centre, Arc::new(queue))
+    }
+
+    /// A log that writes to a sink.
+    pub fn to(
+        host: &Host,
+        data_centre: &DataCentre,
+        sink: Arc<dyn Sink>,
+    ) -> Result<Self, spdlog::Error> {
         let logger = Logger::builder()
-            .sink(Arc::new(queue))
+            .sink(sink)
             .level_filter(LevelFilter::All)
             .flush_level_filter(LevelFilter::All)
             .build()?;
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -1,7 +1,9 @@
 //! Links between entry hosts.
 
+use super::boot_clock::Clock;
 use super::frame::{Beat, Copied, Envelope, Frame, Hello};
-use super::node::{Adapter, Entry};
+use super::net::Net;
+use super::node::{Entry, Environment};
 use super::state::{Peer, Reply};
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
@@ -11,11 +13,10 @@
 use heathertrack::pool::job::Outcome;
 use heathertrack_platform::{Changes, HostRecord, Item};
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -45,16 +46,14 @@
 const QUEUE: usize = 1_024;
 /// Largest message: a copy of the store's items.
 const MAX_FRAME_BYTES: usize = 16 << 20;
-/// Shortest time between two questions to one peer.
-const ASK_PAUSE: Duration = Duration::from_millis(250);
 
 /// Takes peers' connections, and dials hosts without a link.
-pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>, listener: TcpListener) {
+pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
     let accepting = entry.clone();
     spawn_local(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match accepting.environment.net().accept(&listener).await {
+                Ok(stream) => {
                     spawn_local(run(accepting.clone(), stream));
                 }
                 Err(_) => sleep(DIAL_PAUSE).await,
@@ -66,12 +65,12 @@
 }
 
 /// When an address is tried next, and how long the pause after that is.
-type Attempts = HashMap<SocketAddr, (Instant, Duration)>;
+type Attempts = BTreeMap<SocketAddr, (Instant, Duration)>;
 
-async fn dial<A: Adapter>(entry: Rc<Entry<A>>) {
+async fn dial<E: Environment>(entry: Rc<Entry<E>>) {
     let mut attempts = Attempts::new();
     let started = Instant::now();
-    let mut unlinked: HashMap<Host, Instant> = HashMap::new();
+    let mut unlinked: BTreeMap<Host, Instant> = BTreeMap::new();
     loop {
         let now = Instant::now();
         for address in entry.undialled(&mut unlinked, now, now >= started + DIAL_TURN) {
@@ -83,8 +82,10 @@
             let entry = entry.clone();
             spawn_local(async move {
                 // An attempt that fails is made again.
-                if let Ok(Ok(stream)) = timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await {
-                    run(entry, stream).await;
+                if let Ok(Ok(stream)) =
+                    timeout(DIAL_TIMEOUT, entry.environment.net().connect(address)).await
+                {
+                    run(entry.clone(), stream).await;
                 }
             });
         }
@@ -95,11 +96,11 @@
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Addresses of hosts that it is this host's turn to dial.
     fn undialled(
         &self,
-        unlinked: &mut HashMap<Host, Instant>,
+        unlinked: &mut BTreeMap<Host, Instant>,
         now: Instant,
         seeds: bool,
     ) -> Vec<SocketAddr> {
@@ -140,7 +141,7 @@
             waiting_jobs: 0,
             places: 0,
         };
-        beat.with_load(&state.pool.load(self.clock.now()))
+        beat.with_load(&state.pool.load(self.environment.clock().now()))
     }
 
     /// Tells all peers what this host believes of itself.
@@ -159,7 +160,7 @@
 }
 
 /// Tells peers of this host's load: soon after it has changed, and at a steady period.
-async fn beat<A: Adapter>(entry: Rc<Entry<A>>) {
+async fn beat<E: Environment>(entry: Rc<Entry<E>>) {
     let mut told = Instant::now();
     let mut last: Option<Beat> = None;
     loop {
@@ -177,17 +178,14 @@
 }
 
 /// One link, until it ends.
-struct Link<A: Adapter> {
-    entry: Rc<Entry<A>>,
-    framed: Framed<TcpStream, LengthDelimitedCodec>,
+struct Link<E: Environment> {
+    entry: Rc<Entry<E>>,
+    framed: Framed<<E::Net as Net>::Stream, LengthDelimitedCodec>,
     /// Least difference between the clocks, in microseconds: that of the fastest message.
     offset_us: Cell<i64>,
 }
 
-async fn run<A: Adapter>(entry: Rc<Entry<A>>, stream: TcpStream) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
+async fn run<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream) {
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let framed = Framed::new(stream, codec);
     let mut link = Link { entry: entry.clone(), framed, offset_us: Cell::new(i64::MAX) };
@@ -202,7 +200,7 @@
     entry.remove_peer(&host, number, why);
 }
 
-impl<A: Adapter> Link<A> {
+impl<E: Environment> Link<E> {
     async fn greet(&mut self) -> Option<HostRecord> {
         let hello = Frame::Hello(Hello::from(&self.entry.record));
         self.send(hello).await.ok()?;
@@ -218,7 +216,8 @@
     }
 
     fn encode(&self, frame: Frame) -> Result<Bytes, &'static str> {
-        let envelope = Envelope { sent_us: self.entry.clock.now().as_micros(), frame };
+        let envelope =
+            Envelope { sent_us: self.entry.environment.clock().now().as_micros(), frame };
         let bytes = postcard::to_stdvec(&envelope).map_err(|_| "a message can't be encoded")?;
         Ok(Bytes::from(bytes))
     }
@@ -227,7 +226,7 @@
     async fn receive(&mut self) -> Option<(Frame, Duration)> {
         let bytes: BytesMut = self.framed.next().await?.ok()?;
         let envelope: Envelope = postcard::from_bytes(&bytes).ok()?;
-        let now = self.entry.clock.now().as_micros() as i64;
+        let now = self.entry.environment.clock().now().as_micros() as i64;
         let difference = now - envelope.sent_us as i64;
         self.offset_us.set(self.offset_us.get().min(difference));
         let age = u64::try_from(difference - self.offset_us.get()).unwrap_or_default();
@@ -243,6 +242,8 @@
         }
         loop {
             tokio::select! {
+                // What has arrived goes before the conclusion that nothing did.
+                biased;
                 received = self.receive() => {
                     let Some((frame, age)) = received else { return "the connection ended" };
                     heard = Instant::now();
@@ -297,7 +298,7 @@
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     fn add_peer(self: &Rc<Self>, record: HostRecord, frames: mpsc::Sender<Frame>) -> u64 {
         let host = record.name.clone();
         let number = {
@@ -318,8 +319,7 @@
             handed_cores: 0.0,
             revision: 0,
             version: 0,
-            jobs: HashMap::new(),
-            asked: Time::ZERO,
+            jobs: BTreeMap::new(),
         };
         let mut state = self.state.borrow_mut();
         state.peers.insert(host.clone(), peer);
@@ -377,12 +377,14 @@
         peer.handed_cores = 0.0;
         peer.revision = beat.revision;
         peer.version = beat.version;
+        let near = peer.record.data_centre == self.record.data_centre;
+        let frames = peer.frames.clone();
         let newer = beat.version > own_version || (behind && beat.revision > own);
-        if newer && (peer.asked == Time::ZERO || now.since(peer.asked) > ASK_PAUSE) {
-            peer.asked = now;
-            if peer.frames.try_send(Frame::Ask { after: own }).is_err() {
-                self.journal.link_full(host);
-            }
+        if newer
+            && state.catch_up.asks(behind, near, now)
+            && frames.try_send(Frame::Ask { after: own }).is_err()
+        {
+            self.journal.link_full(host);
         }
         if changed {
             state.owners_stale = true;
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -1,5 +1,6 @@
-use super::boot_clock::BootClock;
+use super::boot_clock::Clock;
 use super::journal::Journal;
+use super::net::Net;
 use super::state::State;
 use super::{callers, follow, link, ready, tick};
 use heathertrack::clock::Time;
@@ -10,16 +11,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use thiserror::Error;
-use tokio::net::TcpListener;
 
-/// The parts of a platform's adapter.
-pub trait Adapter: Clone + 'static {
+/// What surrounds a host: the platform, the network and the clock.
+pub trait Environment: Clone + 'static {
     /// Its store.
     type Metadata: Metadata;
     /// Its upstreams.
     type Upstreams: Upstreams;
     /// Its callers.
     type Front: Front;
+    /// Its connections with callers and other hosts.
+    type Net: Net;
+    /// Its clock.
+    type Clock: Clock;
 
     /// The store.
     fn metadata(&self) -> &Self::Metadata;
@@ -27,15 +31,18 @@
     fn upstreams(&self) -> &Self::Upstreams;
     /// The callers.
     fn front(&self) -> &Self::Front;
+    /// The connections.
+    fn net(&self) -> &Self::Net;
+    /// The clock.
+    fn clock(&self) -> &Self::Clock;
 }
 
 /// A running entry host.
 #[derive(Debug)]
-pub struct Entry<A> {
+pub struct Entry<E> {
     pub(super) deployment: Deployment,
     pub(super) record: HostRecord,
-    pub(super) clock: BootClock,
-    pub(super) adapter: A,
+    pub(super) environment: E,
     pub(super) state: RefCell<State>,
     pub(super) journal: Journal,
     /// Peer addresses of some hosts, as the settings name them now.
@@ -55,29 +62,28 @@
         /// Why.
         source: io::Error,
     },
-    /// The log can't be opened.
-    #[error("the log cannot be opened: {0}")]
-    Log(#[from] spdlog::Error),
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Starts an entry host on the addresses of its settings. To be called within a
     /// [`tokio::task::LocalSet`].
-    pub async fn bind(deployment: Deployment, adapter: A) -> Result<Rc<Self>, EntryError> {
-        let callers = listen(deployment.callers).await?;
-        let ready = listen(deployment.ready).await?;
-        let peers = listen(deployment.peers).await?;
+    pub async fn bind(
+        deployment: Deployment,
+        environment: E,
+        journal: Journal,
+    ) -> Result<Rc<Self>, EntryError> {
+        let callers = listen(&environment, deployment.callers).await?;
+        let ready = listen(&environment, deployment.ready).await?;
+        let peers = listen(&environment, deployment.peers).await?;
         let record = HostRecord {
             name: deployment.name.clone(),
             data_centre: deployment.data_centre.clone(),
             peers: deployment.peers,
             cpu_share: deployment.cpu_share,
         };
-        let journal = Journal::open(&deployment.name, &deployment.data_centre)?;
         let entry = Rc::new(Entry {
             record,
-            clock: BootClock::start(),
-            adapter,
+            environment,
             state: RefCell::new(State::new(Options::default())),
             journal,
             seeds: RefCell::new(deployment.seeds.clone()),
@@ -93,6 +99,11 @@
         Ok(entry)
     }
 
+    /// The host's clock.
+    pub fn clock(&self) -> &E::Clock {
+        self.environment.clock()
+    }
+
     /// Takes settings that were read again: seeds are in force at once, all else at the next start.
     pub fn reload(&self, deployment: &Deployment) {
         let restart = Deployment { seeds: self.deployment.seeds.clone(), ..deployment.clone() };
@@ -108,7 +119,7 @@
 
     /// The time, after what a suspension of the process brought about was done.
     pub(super) fn now(self: &Rc<Self>) -> Time {
-        let now = self.clock.now();
+        let now = self.environment.clock().now();
         let gap = {
             let mut state = self.state.borrow_mut();
             let gap = now.since(state.last_event);
@@ -122,6 +133,10 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address).await.map_err(|source| EntryError::Listen { address, source })
+async fn listen<E: Environment>(
+    environment: &E,
+    address: SocketAddr,
+) -> Result<<E::Net as Net>::Listener, EntryError> {
+    let listener = environment.net().listen(address).await;
+    listener.map_err(|source| EntryError::Listen { address, source })
 }
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -1,11 +1,11 @@
 //! Which upstreams this host dispatches to, and who dispatches to the others.
 
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use super::state::State;
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::{Candidate, dispatchers, owner};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 /// pages: records are back within about two seconds).
 const RECORD_GRACE: Duration = Duration::from_millis(2_500);
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Works out the owners of all upstreams, if they may have changed.
     pub(super) fn update_owners(self: &Rc<Self>) {
         let now = self.now();
@@ -106,7 +106,7 @@
     /// Drops upstreams whose records have been gone for too long.
     fn drop_missing(&mut self, now: Time) {
         let failed = self.store_failed;
-        let (gone, kept): (HashMap<_, _>, HashMap<_, _>) =
+        let (gone, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
             std::mem::take(&mut self.missing).into_iter().partition(|(_, since)| {
                 let outage = failed.is_some_and(|failed| now.since(failed) < RECORD_GRACE);
                 !outage && now.since(*since) >= RECORD_GRACE || failed.is_none()
--- a/crates/heathertrackd/src/entry/ready.rs
+++ b/crates/heathertrackd/src/entry/ready.rs
@@ -1,21 +1,29 @@
 //! Tells the balancer whether this host takes callers.
 
-use super::node::{Adapter, Entry};
+use super::net::Net;
+use super::node::{Entry, Environment};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use std::time::Duration;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Pause after a connection could not be accepted, as descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Answers the balancer's question.
-pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>, listener: TcpListener) {
+pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
     let entry = entry.clone();
     spawn_local(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+            let Ok(stream) = entry.environment.net().accept(&listener).await else {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
             let entry = entry.clone();
             spawn_local(async move {
                 let service = service_fn(|_| {
@@ -31,7 +39,7 @@
     });
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     fn readiness(&self) -> StatusCode {
         let state = self.state.borrow();
         if state.leaving || state.table.is_none() {
--- a/crates/heathertrackd/src/entry/routing.rs
+++ b/crates/heathertrackd/src/entry/routing.rs
@@ -1,6 +1,6 @@
 //! Which dispatcher a job goes to.
 
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
 use heathertrack::pool::job::Step;
@@ -11,7 +11,7 @@
 /// Cost of the way to another data centre: messages between them are priced and take longer.
 const FAR: f64 = 0.08;
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// The dispatcher for a job; none if no other than those in `tried` has upstreams.
     pub(super) fn dispatcher(&self, steps: &[Step], tried: &[Host], now: Time) -> Option<Host> {
         let state = self.state.borrow();
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -1,12 +1,13 @@
 use super::frame::Frame;
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
+use heathertrack::membership::CatchUp;
 use heathertrack::name::{Host, Upstream};
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{JobKey, Load, Options, Pool, upstream};
 use heathertrack::routes::Table;
 use heathertrack_platform::HostRecord;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,17 +19,17 @@
     /// The configuration in force.
     pub table: Option<Rc<Table>>,
     /// Usable records of upstreams.
-    pub upstreams: HashMap<Upstream, upstream::Record>,
+    pub upstreams: BTreeMap<Upstream, upstream::Record>,
     /// Upstreams whose records are gone, and since when.
-    pub missing: HashMap<Upstream, Time>,
+    pub missing: BTreeMap<Upstream, Time>,
     /// Hosts that the store or a peer named.
-    pub hosts: HashMap<Host, HostRecord>,
+    pub hosts: BTreeMap<Host, HostRecord>,
     /// Hosts with a live link.
-    pub peers: HashMap<Host, Peer>,
+    pub peers: BTreeMap<Host, Peer>,
     /// Where the outcome of a job of the own pool goes.
-    pub replies: HashMap<JobKey, Reply>,
+    pub replies: BTreeMap<JobKey, Reply>,
     /// Jobs that were handed to other dispatchers.
-    pub calls: HashMap<u64, Handed>,
+    pub calls: BTreeMap<u64, Handed>,
     pub next_call: u64,
     /// Jobs whose callers wait here.
     pub callers: usize,
@@ -36,6 +37,8 @@
     pub leaving: bool,
     /// When the last event was handled; a long gap means that the process was suspended.
     pub last_event: Time,
+    /// Which peers are asked for newer items, and when.
+    pub catch_up: CatchUp,
     /// When the store last failed, if it has at all.
     pub store_failed: Option<Time>,
     /// The dispatchers of all data centres, among the live hosts.
@@ -43,7 +46,7 @@
     /// The owners of upstreams may have changed.
     pub owners_stale: bool,
     /// When a data centre was last seen without a live host.
-    pub deserted: HashMap<heathertrack::name::DataCentre, Time>,
+    pub deserted: BTreeMap<heathertrack::name::DataCentre, Time>,
 }
 
 /// Another entry host with a live link.
@@ -60,9 +63,7 @@
     pub revision: u64,
     pub version: u64,
     /// Jobs of the own pool that came from it, by its number.
-    pub jobs: HashMap<u64, JobKey>,
-    /// When it was last asked for items.
-    pub asked: Time,
+    pub jobs: BTreeMap<u64, JobKey>,
 }
 
 /// Where the outcome of a job goes.
@@ -88,20 +89,21 @@
             pool: Pool::new(options),
             mirror: Mirror::default(),
             table: None,
-            upstreams: HashMap::new(),
-            missing: HashMap::new(),
-            hosts: HashMap::new(),
-            peers: HashMap::new(),
-            replies: HashMap::new(),
-            calls: HashMap::new(),
+            upstreams: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            calls: BTreeMap::new(),
             next_call: 0,
             callers: 0,
             leaving: false,
             last_event: Time::ZERO,
+            catch_up: CatchUp::default(),
             store_failed: None,
             dispatchers: Vec::new(),
             owners_stale: true,
-            deserted: HashMap::new(),
+            deserted: BTreeMap::new(),
         }
     }
 
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -1,7 +1,7 @@
 //! Hands a job to a dispatcher and waits for its outcome.
 
 use super::frame::{Frame, Submit};
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use super::routing::cores;
 use super::state::{Handed, Reply};
 use heathertrack::name::Host;
@@ -19,8 +19,8 @@
 const TAKEOVER: Duration = Duration::from_secs(2);
 
 /// A job in the hands of a dispatcher. Dropping it cancels the job.
-struct Offer<A: Adapter> {
-    entry: Rc<Entry<A>>,
+struct Offer<E: Environment> {
+    entry: Rc<Entry<E>>,
     place: Place,
     outcome: oneshot::Receiver<Outcome>,
 }
@@ -30,7 +30,7 @@
     Peer(Host, u64),
 }
 
-impl<A: Adapter> Drop for Offer<A> {
+impl<E: Environment> Drop for Offer<E> {
     fn drop(&mut self) {
         match &self.place {
             Place::Here(job) => {
@@ -53,9 +53,9 @@
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Runs a job. Gives the dispatcher that had it last, and the outcome.
-    pub(super) async fn run_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
+    pub async fn run_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
         let mut tried: Vec<Host> = Vec::new();
         let mut last = Outcome::NotRun { retry_after: TAKEOVER, why: "no dispatcher is known" };
         while tried.len() < OFFERS {
@@ -78,7 +78,7 @@
         (tried.pop(), last)
     }
 
-    fn offer(self: &Rc<Self>, host: &Host, job: &Request) -> Offer<A> {
+    fn offer(self: &Rc<Self>, host: &Host, job: &Request) -> Offer<E> {
         let (reply, outcome) = oneshot::channel();
         let now = self.now();
         let place = if *host == self.record.name {
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -1,6 +1,6 @@
 //! What time alone brings about.
 
-use super::node::{Adapter, Entry};
+use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
 use std::rc::Rc;
@@ -20,11 +20,11 @@
 const MARGIN: Duration = Duration::from_millis(300);
 
 /// Starts the ticks.
-pub fn spawn<A: Adapter>(entry: &Rc<Entry<A>>) {
+pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>) {
     tokio::task::spawn_local(run(entry.clone()));
 }
 
-async fn run<A: Adapter>(entry: Rc<Entry<A>>) {
+async fn run<E: Environment>(entry: Rc<Entry<E>>) {
     let mut next = Instant::now();
     loop {
         sleep_until(next).await;
@@ -35,7 +35,7 @@
     }
 }
 
-impl<A: Adapter> Entry<A> {
+impl<E: Environment> Entry<E> {
     /// Stops as planned: takes no new upstreams and jobs, and returns when the last is answered or
     /// the grace period is over.
     pub async fn stop(self: &Rc<Self>) {
@@ -69,7 +69,7 @@
             state.pool.resumed(now);
             state.peers.clear();
             state.owners_stale = true;
-            state.calls.drain().collect()
+            std::mem::take(&mut state.calls).into_iter().collect()
         };
         for (_, handed) in calls {
             // The caller may be gone; then nobody is to be told.
--- a/crates/heathertrackd/src/main.rs
+++ b/crates/heathertrackd/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use heathertrack_adapter::{Jobs, Orders, Store};
 use heathertrack_platform::{Deployment, Etcd, HttpHostList};
-use heathertrackd::entry::{Adapter, Entry};
+use heathertrackd::entry::{BootClock, Entry, Environment, Journal, Tcp};
 use heathertrackd::{Node, Settings};
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use std::path::PathBuf;
@@ -37,12 +37,15 @@
     store: Store,
     orders: Orders,
     jobs: Jobs,
+    clock: BootClock,
 }
 
-impl Adapter for UsersPlatform {
+impl Environment for UsersPlatform {
     type Metadata = Store;
     type Upstreams = Orders;
     type Front = Jobs;
+    type Net = Tcp;
+    type Clock = BootClock;
 
     fn metadata(&self) -> &Store {
         &self.store
@@ -55,6 +58,14 @@
     fn front(&self) -> &Jobs {
         &self.jobs
     }
+
+    fn net(&self) -> &Tcp {
+        &Tcp
+    }
+
+    fn clock(&self) -> &BootClock {
+        &self.clock
+    }
 }
 
 fn main() -> ExitCode {
@@ -101,8 +112,10 @@
         store: Store::open(deployment.store),
         orders: Orders::open(ORDER_TIMEOUT),
         jobs: Jobs,
+        clock: BootClock::start(),
     };
-    let entry = Entry::bind(deployment, platform).await.into_diagnostic()?;
+    let journal = Journal::open(&deployment.name, &deployment.data_centre).into_diagnostic()?;
+    let entry = Entry::bind(deployment, platform, journal).await.into_diagnostic()?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
