--- a/crates/heathertrack_model/src/lib.rs
+++ b/crates/heathertrack_model/src/lib.rs
@@ -24,7 +24,7 @@
 mod plan;
 mod process;
 mod store;
-mod upstream;
+pub mod upstream;
 mod verdict;
 mod world;
 
--- a/crates/heathertrack_testkit/src/relay.rs
+++ b/crates/heathertrack_testkit/src/relay.rs
@@ -2,15 +2,33 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::io::copy_bidirectional;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Bytes that are read at a time.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// A running relay.
 #[derive(Clone, Debug)]
 pub struct Relay {
     address: SocketAddr,
-    open: Arc<watch::Sender<bool>>,
+    mode: Arc<watch::Sender<Mode>>,
+}
+
+/// What a relay does with what passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Mode {
+    /// Whether bytes pass to the target.
+    forward: bool,
+    /// Whether bytes pass back.
+    backward: bool,
+    /// How long bytes are held up.
+    delay: Duration,
+    /// Connections of an earlier epoch are closed.
+    epoch: u64,
 }
 
 impl Relay {
@@ -18,8 +36,9 @@
     pub async fn spawn(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (open, _) = watch::channel(true);
-        let relay = Relay { address, open: Arc::new(open) };
+        let open = Mode { forward: true, backward: true, delay: Duration::ZERO, epoch: 0 };
+        let (mode, _) = watch::channel(open);
+        let relay = Relay { address, mode: Arc::new(mode) };
         tokio::spawn(relay.clone().run(listener, target));
         Ok(relay)
     }
@@ -31,12 +50,39 @@
 
     /// Cuts what passes now, and takes nothing new; connections hang, as in a partition.
     pub fn cut(&self) {
-        self.open.send_replace(false);
+        self.change(|mode| (mode.forward, mode.backward) = (false, false));
+    }
+
+    /// Cuts one way only: bytes still pass back.
+    pub fn cut_forward(&self) {
+        self.change(|mode| (mode.forward, mode.backward) = (false, true));
+    }
+
+    /// Cuts one way only: bytes still pass to the target.
+    pub fn cut_backward(&self) {
+        self.change(|mode| (mode.forward, mode.backward) = (true, false));
+    }
+
+    /// Holds up all that passes.
+    pub fn delay(&self, delay: Duration) {
+        self.change(|mode| mode.delay = delay);
     }
 
-    /// Lets connections pass again.
+    /// Closes all connections.
+    pub fn reset(&self) {
+        self.change(|mode| mode.epoch += 1);
+    }
+
+    /// Lets connections pass again. Those that were cut are closed.
     pub fn mend(&self) {
-        self.open.send_replace(true);
+        self.change(|mode| {
+            mode.epoch += u64::from(!mode.forward || !mode.backward);
+            (mode.forward, mode.backward, mode.delay) = (true, true, Duration::ZERO);
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Mode)) {
+        self.mode.send_modify(change);
     }
 
     async fn run(self, listener: TcpListener, target: SocketAddr) {
@@ -49,24 +95,45 @@
         }
     }
 
-    async fn pass(&self, mut inbound: TcpStream, target: SocketAddr) {
-        let mut open = self.open.subscribe();
-        if !*open.borrow() {
-            // Held open and silent until the cut is mended.
-            let _ = open.wait_for(|open| *open).await;
+    async fn pass(&self, inbound: TcpStream, target: SocketAddr) {
+        let mut mode = self.mode.subscribe();
+        let epoch = mode.borrow().epoch;
+        // Held open and silent until the cut is mended, which closes it.
+        if mode.wait_for(|mode| mode.forward).await.is_err() || mode.borrow().epoch != epoch {
             return;
         }
-        let Ok(mut outbound) = TcpStream::connect(target).await else {
+        let Ok(outbound) = TcpStream::connect(target).await else {
             return;
         };
         let _ = inbound.set_nodelay(true);
         let _ = outbound.set_nodelay(true);
-        let ended = tokio::select! {
-            _ = copy_bidirectional(&mut inbound, &mut outbound) => true,
-            cut = open.wait_for(|open| !*open) => cut.is_err(),
-        };
-        if !ended {
-            let _ = open.wait_for(|open| *open).await;
+        let (from_caller, to_caller) = inbound.into_split();
+        let (from_target, to_target) = outbound.into_split();
+        let ended = async { mode.wait_for(|mode| mode.epoch != epoch).await.is_err() };
+        tokio::select! {
+            () = self.copy(from_caller, to_target, |mode| mode.forward) => {}
+            () = self.copy(from_target, to_caller, |mode| mode.backward) => {}
+            _ = ended => {}
+        }
+    }
+
+    async fn copy(
+        &self,
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+        open: impl Fn(&Mode) -> bool,
+    ) {
+        let mut mode = self.mode.subscribe();
+        let mut bytes = vec![0; CHUNK_BYTES];
+        while let Ok(count) = from.read(&mut bytes).await {
+            if count == 0 {
+                return;
+            }
+            let delay = mode.borrow().delay;
+            tokio::time::sleep(delay).await;
+            if mode.wait_for(&open).await.is_err() || to.write_all(&bytes[..count]).await.is_err() {
+                return;
+            }
         }
     }
 }
