--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -10,7 +10,7 @@
 use super::job::{Id, Job, Outcome, Request};
 use super::run::{Run, State};
 use super::upstream::Upstream;
-use super::{Decision, Effect, JobKey, Load, Options, RunKey, Task, UpstreamKey, admission};
+use super::{Decision, Effect, Ended, JobKey, Load, Options, RunKey, Task, UpstreamKey, admission};
 use crate::clock::Time;
 use crate::name;
 use slotmap::SlotMap;
@@ -28,6 +28,8 @@
     runs: SlotMap<RunKey, Run>,
     tasks: BTreeMap<(Task, u32), RunKey>,
     durations: Durations,
+    /// Runs by how they ended, in the order of [`Ended`].
+    ends: [u64; 5],
     /// Looks are short until then.
     wary_until: Time,
     sequence: u64,
@@ -193,6 +195,18 @@
         u32::try_from(total.checked_div(count).unwrap_or(1_000)).unwrap_or(u32::MAX).max(1)
     }
 
+    /// Runs that ended so.
+    pub fn ended_runs(&self, how: Ended) -> u64 {
+        self.ends[how as usize]
+    }
+
+    /// Time until the first lease of an upstream with runs lapses; a minute if none runs.
+    pub fn least_lease(&self, now: Time) -> Duration {
+        let busy = self.upstreams.values().filter(|upstream| !upstream.runs.is_empty());
+        let least = busy.map(|upstream| upstream.lapsed.since(now)).min();
+        least.unwrap_or(Duration::from_secs(60))
+    }
+
     /// Learned speeds by upstream, for other hosts.
     pub fn speeds(&self) -> impl Iterator<Item = (&name::Upstream, f64)> {
         self.upstreams.values().map(|upstream| (&upstream.record.name, upstream.speed.factor()))
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -115,6 +115,7 @@
     /// A run is over.
     pub(super) fn ended(&mut self, key: RunKey, how: Ended, now: Time) {
         let Some(run) = self.take_run(key) else { return };
+        self.ends[how as usize] += 1;
         let age = now.since(run.ordered);
         if how != Ended::Done
             && let Some(upstream) = self.upstreams.get(run.upstream)
--- a/crates/heathertrack/src/pool/order.rs
+++ b/crates/heathertrack/src/pool/order.rs
@@ -1,3 +1,5 @@
+//! In which order waiting jobs are started.
+
 use super::job::Job;
 use crate::clock::Time;
 
--- a/crates/heathertrack/src/pool/placement.rs
+++ b/crates/heathertrack/src/pool/placement.rs
@@ -1,3 +1,5 @@
+//! Which upstream a task is started on.
+
 use std::time::Duration;
 
 /// Share of the time left that a run may be expected to take on a slow upstream: estimates are off
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -5,7 +5,9 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Something that goes wrong.
+/// Something that goes wrong. Hosts, upstreams and data centres are named by number; `span` and
+/// `down` say how long it lasts, `share` is between zero and one.
+#[expect(missing_docs, reason = "the fields are told above")]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Trouble {
     /// A host's process is killed and starts again after a while.
--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Longest lease that is granted.
 const LONGEST_LEASE_MS: u64 = 1_000;
@@ -33,8 +33,11 @@
 /// A run as it was in fact.
 #[derive(Clone, Debug)]
 pub struct Interval {
+    /// The task.
     pub task: Task,
+    /// When it began.
     pub began: Instant,
+    /// When it ended.
     pub ended: Instant,
     /// The order to start it was carried out late.
     pub late: bool,
@@ -64,11 +67,15 @@
 /// An emulated upstream.
 #[derive(Debug)]
 pub struct Emulated {
+    /// What it says of itself.
     pub record: Record,
+    /// Its speed against the usual one.
     pub speed: f64,
     /// Rate of its clock against true time.
     pub rate: f64,
+    /// How it misbehaves.
     pub mood: Mood,
+    /// Whether nobody listens there.
     pub down: bool,
     born: Instant,
     born_ms: u64,
@@ -78,8 +85,10 @@
     ended: Vec<End>,
     /// Highest number of each task that was started, stopped or ended there.
     numbers: BTreeMap<Task, u32>,
+    /// Runs that have ended.
     pub intervals: Vec<Interval>,
     truths: Truths,
+    /// Notified when a run begins or ends.
     pub changed: Rc<Notify>,
 }
 
@@ -290,3 +299,21 @@
         }
     }
 }
+
+/// Waits until an end is listed that isn't taken note of, at most until an instant.
+pub async fn wait_for_end(upstream: &Rc<RefCell<Emulated>>, acknowledged: u64, until: Instant) {
+    loop {
+        let now = Instant::now();
+        upstream.borrow_mut().advance(now);
+        if upstream.borrow().has_news(acknowledged) || now >= until {
+            return;
+        }
+        let next = upstream.borrow().next_end().unwrap_or(until).min(until);
+        let changed = upstream.borrow().changed.clone();
+        tokio::select! {
+            biased;
+            () = changed.notified() => {}
+            () = sleep_until(next) => {}
+        }
+    }
+}
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -174,6 +174,7 @@
             callers: address(1),
             ready: address(2),
             peers: address(3),
+            ip: address(0).ip(),
             store: address(4),
             seeds: Vec::new(),
             cpu_share: site.cpu_share,
--- a/crates/heathertrack_platform/src/deployment.rs
+++ b/crates/heathertrack_platform/src/deployment.rs
@@ -1,5 +1,5 @@
 use heathertrack::name::{DataCentre, Host};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Settings of an entry host on a platform whose upstreams run tasks under leases.
@@ -15,6 +15,8 @@
     pub ready: SocketAddr,
     /// Where other entry hosts connect.
     pub peers: SocketAddr,
+    /// The host's own IP number.
+    pub ip: IpAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// Peer addresses of some entry hosts; they may be stale.
--- a/crates/heathertrackd/src/entry.rs
+++ b/crates/heathertrackd/src/entry.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod journal;
 mod link;
+mod metrics;
 mod mirror;
 mod net;
 mod node;
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -1,6 +1,7 @@
 //! Callers' requests.
 
 use super::journal::ms;
+use super::metrics;
 use super::net::Net;
 use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
@@ -130,6 +131,7 @@
         why: &str,
         version: u64,
     ) -> Response<String> {
+        metrics::refused(status.as_u16());
         self.journal.request_refused(head.uri.path(), status.as_u16(), why, version);
         self.environment.front().refusal(status, why)
     }
@@ -206,6 +208,7 @@
             Outcome::NotRun { .. } => "job_not_run",
             Outcome::MayHaveRun(_) => "job_unfinished",
         };
+        metrics::answered(&class, self.record.data_centre.as_str(), event, age);
         self.journal.job_ended(
             event,
             json!({
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -2,11 +2,12 @@
 
 use super::boot_clock::Clock;
 use super::frame::Frame;
+use super::metrics;
 use super::node::{Entry, Environment};
 use super::state::Reply;
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
-use heathertrack::pool::{Effect, JobKey, Pool, StartAnswer, UpstreamKey};
+use heathertrack::pool::{Decision, Effect, JobKey, Pool, StartAnswer, UpstreamKey};
 use heathertrack_platform::{Fault, Look, Start, Upstreams};
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,7 +49,13 @@
                     self.look(upstream, Look { until_ms, acknowledged, wait });
                 }
                 Effect::Finish { job, outcome } => self.finish(job, outcome),
-                Effect::Note(decision) => self.journal.decision(&decision),
+                Effect::Note(decision) => {
+                    if let Decision::Refused { why, .. } | Decision::GivenUp { why, .. } = &decision
+                    {
+                        metrics::dropped(why);
+                    }
+                    self.journal.decision(&decision);
+                }
             }
         }
     }
@@ -68,6 +75,7 @@
         spawn_local(async move {
             let (answer, clock_ms) =
                 entry.environment.upstreams().start(&address, &name, &order).await;
+            metrics::started(answer);
             if answer != StartAnswer::Running {
                 entry.journal.start_refused(&order, &name, answer);
             }
@@ -102,9 +110,11 @@
         spawn_local(async move {
             match entry.environment.upstreams().look(&address, &name, &look).await {
                 Ok(listing) => {
+                    metrics::looked(true);
                     entry.with_pool(|pool, now| pool.listed(upstream, &listing, sent, now));
                 }
                 Err(fault) => {
+                    metrics::looked(false);
                     entry.journal.look_failed(&name, &fault);
                     let unreachable = matches!(fault, Fault::Refused(_));
                     if !unreachable {
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the platform's store, and keeps this host's record there.
 
+use super::metrics;
 use super::node::{Entry, Environment};
 use heathertrack_platform::{Changes, Fact, Item, LeaseKey, Metadata, ReadFault, Subject};
 use std::rc::Rc;
@@ -43,6 +44,9 @@
         };
         match result {
             Ok(changes) => {
+                metrics::store_called(true);
+                let now = entry.now();
+                entry.state.borrow_mut().store_read = Some(now);
                 if !answers {
                     entry.journal.store(true, "", changes.revision);
                     answers = true;
@@ -54,6 +58,7 @@
             }
             Err(ReadFault::Forgotten) => complete = false,
             Err(ReadFault::Call(fault)) => {
+                metrics::store_called(false);
                 if answers {
                     entry.journal.store(false, &fault.to_string(), after);
                     answers = false;
--- a/crates/heathertrackd/src/entry/journal.rs
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -1,5 +1,6 @@
 //! The log on standard output: JSON lines, bounded for each kind, written by a thread of its own.
 
+use super::metrics;
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::{Decision, StartAnswer};
@@ -93,6 +94,7 @@
             fields.insert("host".to_owned(), self.host.clone().into());
             fields.insert("data_centre".to_owned(), self.data_centre.clone().into());
             if left_out > 0 {
+                metrics::lines_left_out(event, left_out);
                 fields.insert("left_out".to_owned(), left_out.into());
             }
         }
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -7,7 +7,6 @@
 use super::state::{Peer, Reply};
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
-use heathertrack::clock::Time;
 use heathertrack::name::Host;
 use heathertrack::pool::Load;
 use heathertrack::pool::job::Outcome;
--- /dev/null
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -0,0 +1,124 @@
+//! What an entry host counts, and where it is read. docs/OPERATIONS.md lists every name.
+
+use super::boot_clock::Clock;
+use super::node::{Entry, Environment};
+use crate::metrics as recorder;
+use heathertrack::pool::{Ended, StartAnswer};
+use hyper::Response;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::{counter, gauge, histogram};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Pause after a connection could not be accepted, as descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A job was answered.
+pub fn answered(class: &str, data_centre: &str, outcome: &'static str, age: Duration) {
+    let labels = [("class", class.to_owned()), ("data_centre", data_centre.to_owned())];
+    histogram!("heathertrack_answer_seconds", &labels).record(age.as_secs_f64());
+    let class = class.to_owned();
+    counter!("heathertrack_answers_total", "class" => class, "outcome" => outcome).increment(1);
+}
+
+/// A request was answered without a job.
+pub fn refused(status: u16) {
+    let status = status.to_string();
+    counter!("heathertrack_requests_refused_total", "status" => status).increment(1);
+}
+
+/// A dispatcher refused a job or gave it up.
+pub fn dropped(why: &'static str) {
+    counter!("heathertrack_jobs_dropped_total", "reason" => why).increment(1);
+}
+
+/// An upstream answered an order to start.
+pub fn started(answer: StartAnswer) {
+    let answer = match answer {
+        StartAnswer::Running => "running",
+        StartAnswer::NoRoom => "no_room",
+        StartAnswer::OldNumber => "old_number",
+        StartAnswer::TooLate => "too_late",
+        StartAnswer::Unwell => "unwell",
+        StartAnswer::Unreachable => "unreachable",
+        StartAnswer::Unsent => "unsent",
+        StartAnswer::Unknown => "no_answer",
+    };
+    counter!("heathertrack_starts_total", "answer" => answer).increment(1);
+}
+
+/// An upstream answered a look, or not.
+pub fn looked(answered: bool) {
+    let outcome = if answered { "answered" } else { "failed" };
+    counter!("heathertrack_looks_total", "outcome" => outcome).increment(1);
+}
+
+/// The store answered a call, or not.
+pub fn store_called(answered: bool) {
+    let outcome = if answered { "answered" } else { "failed" };
+    counter!("heathertrack_store_calls_total", "outcome" => outcome).increment(1);
+}
+
+/// Lines of the log were left out.
+pub fn lines_left_out(event: &'static str, count: u64) {
+    counter!("heathertrack_log_lines_left_out_total", "event" => event).increment(count);
+}
+
+impl<E: Environment> Entry<E> {
+    /// Serves the metrics as text at an address, by `GET /metrics`.
+    pub async fn serve_metrics(self: &Rc<Self>, address: SocketAddr) -> io::Result<()> {
+        recorder::install();
+        let listener = TcpListener::bind(address).await?;
+        let entry = self.clone();
+        spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                let entry = entry.clone();
+                spawn_local(async move {
+                    let service = service_fn(|_| {
+                        entry.set_gauges();
+                        let response = Response::new(recorder::render());
+                        async move { Ok::<_, Infallible>(response) }
+                    });
+                    // Whoever reads the metrics comes again.
+                    let stream = TokioIo::new(stream);
+                    let _ = http1::Builder::new().serve_connection(stream, service).await;
+                });
+            }
+        });
+        Ok(())
+    }
+
+    fn set_gauges(&self) {
+        let now = self.environment.clock().now();
+        let state = self.state.borrow();
+        let load = state.pool.load(now);
+        gauge!("heathertrack_cores").set(load.cores);
+        gauge!("heathertrack_busy_cores").set(load.busy);
+        gauge!("heathertrack_waiting_core_seconds").set(load.waiting);
+        gauge!("heathertrack_waiting_jobs").set(f64::from(load.waiting_jobs));
+        gauge!("heathertrack_callers_waiting").set(state.callers as f64);
+        gauge!("heathertrack_live_peers").set(state.peers.len() as f64);
+        gauge!("heathertrack_configuration_version").set(state.version() as f64);
+        gauge!("heathertrack_store_revision").set(state.mirror.revision() as f64);
+        let age = state.store_read.map_or(f64::INFINITY, |read| now.since(read).as_secs_f64());
+        gauge!("heathertrack_store_age_seconds").set(age);
+        let margin = state.pool.least_lease(now);
+        gauge!("heathertrack_least_lease_seconds").set(margin.as_secs_f64());
+        for how in [Ended::Done, Ended::Failed, Ended::Stopped, Ended::Lapsed, Ended::Gone] {
+            let count = state.pool.ended_runs(how);
+            counter!("heathertrack_runs_ended_total", "end" => how.name()).absolute(count);
+        }
+    }
+}
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -11,7 +11,7 @@
 
 /// Time from the start within which links to all known hosts should be up; until then a host may
 /// wrongly think itself alone.
-const SETTLING: Duration = Duration::from_millis(500);
+const SETTLING: Duration = Duration::from_millis(250);
 /// Time for which a data centre has to be without a live host before hosts of others take over its
 /// upstreams: a process that was killed is back sooner.
 const DESERTED: Duration = Duration::from_millis(1_200);
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -39,6 +39,8 @@
     pub last_event: Time,
     /// Which peers are asked for newer items, and when.
     pub catch_up: CatchUp,
+    /// When the store last answered a question for changes.
+    pub store_read: Option<Time>,
     /// When the store last failed, if it has at all.
     pub store_failed: Option<Time>,
     /// The dispatchers of all data centres, among the live hosts.
@@ -100,6 +102,7 @@
             leaving: false,
             last_event: Time::ZERO,
             catch_up: CatchUp::default(),
+            store_read: None,
             store_failed: None,
             dispatchers: Vec::new(),
             owners_stale: true,
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -2,6 +2,7 @@
 
 use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
+use heathertrack::pool::Pool;
 use heathertrack::pool::job::Outcome;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,7 +29,7 @@
     let mut next = Instant::now();
     loop {
         sleep_until(next).await;
-        entry.with_pool(|pool, now| pool.tick(now));
+        entry.with_pool(Pool::tick);
         entry.update_owners();
         let idle = entry.state.borrow().pool.is_idle();
         next = Instant::now() + if idle { IDLE } else { BUSY };
--- a/crates/heathertrackd/src/main.rs
+++ b/crates/heathertrackd/src/main.rs
@@ -7,6 +7,7 @@
 use heathertrackd::entry::{BootClock, Entry, Environment, Journal, Tcp};
 use heathertrackd::{Node, Settings};
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -31,6 +32,9 @@
     /// run on the users' platform, with the settings file that it names in HEATHERTRACK_BOOT
     #[argh(switch)]
     platform: bool,
+    /// with --platform: port of the host's own IP number where GET /metrics is answered
+    #[argh(option)]
+    metrics_port: Option<u16>,
 }
 
 /// The users' platform.
@@ -73,7 +77,7 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let run = match (&arguments.settings, arguments.platform) {
-        (_, true) => read_deployment().map(run_on_platform),
+        (_, true) => read_deployment().map(|read| run_on_platform(read, arguments.metrics_port)),
         (Some(path), false) => read(path).map(run),
         (None, false) => Err(miette!("either --settings or --platform is needed")),
     };
@@ -100,13 +104,16 @@
         .map_err(|findings| miette!("{}: {}", path.display(), findings.join("; ")))
 }
 
-fn run_on_platform(deployment: Deployment) -> Result<(), Report> {
+fn run_on_platform(deployment: Deployment, metrics_port: Option<u16>) -> Result<(), Report> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve_on_platform(deployment))
+    tokio::task::LocalSet::new().block_on(&runtime, serve_on_platform(deployment, metrics_port))
 }
 
-async fn serve_on_platform(deployment: Deployment) -> Result<(), Report> {
+async fn serve_on_platform(
+    deployment: Deployment,
+    metrics_port: Option<u16>,
+) -> Result<(), Report> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
@@ -116,9 +123,13 @@
         jobs: Jobs,
         clock: BootClock::start(),
     };
+    let ip = deployment.ip;
     let journal = Journal::open(&deployment.name, &deployment.data_centre).into_diagnostic()?;
     let entry =
         Entry::bind(deployment, platform, journal, Options::default()).await.into_diagnostic()?;
+    if let Some(port) = metrics_port {
+        entry.serve_metrics(SocketAddr::new(ip, port)).await.into_diagnostic()?;
+    }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
