Confirm at once that a lost start never began; explain a request from the logs

The look that had to show the run's absence waited behind one that waited for an end, up to 300 ms. Ruled out: the stop itself (2 ms), a full queue (places were free). Change: after the stop of a run that was never seen, a second look is sent at once. A job whose waiting tasks can't be done in a useful time is given up at once. Decisions about a job are kept until it ends and written only if it isn't answered in time; heathertrack explain tells them in order over all hosts with the cause; heathertrack check platform checks settings files. Tests: crates/heathertrack/tests/pool.rs, order by order; the second look's test fails without it.

--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -1,4 +1,4 @@
-use super::{JobKey, RunKey, Task, UpstreamKey};
+use super::{JobKey, Load, RunKey, Task, UpstreamKey};
 use crate::pool::job::{Id, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,8 +48,12 @@
     Finish {
         /// The job.
         job: JobKey,
+        /// Its identifier.
+        id: Id,
         /// How it ended.
         outcome: Outcome,
+        /// Whether that was within its objective.
+        in_time: bool,
     },
     /// Write a decision to the log.
     Note(Decision),
@@ -58,6 +62,32 @@
 /// A decision that touches a request or changes what is believed, with the inputs that decided it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
+    /// A job was taken.
+    Taken {
+        /// The job.
+        job: Id,
+        /// What the dispatcher's upstreams hold.
+        load: Load,
+        /// Core-seconds of the work that goes before it.
+        ahead: f64,
+    },
+    /// A task was started.
+    Placed {
+        /// The task.
+        task: Task,
+        /// Number of the run.
+        number: u32,
+        /// Where.
+        upstream: crate::name::Upstream,
+        /// Expected duration there.
+        expected: Duration,
+        /// Learned speed of the upstream against the usual one.
+        speed: f64,
+        /// Age of the last answer from it.
+        heard: Duration,
+        /// Time since the job was received.
+        age: Duration,
+    },
     /// A job was refused at the door or while it waited.
     Refused {
         /// The job.
--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -140,6 +140,10 @@
     MayHaveRun(&'static str),
 }
 
+/// Share of its declared duration that a task takes at least: on a fast upstream, and by an
+/// estimate that is too long by 40%.
+const LEAST_SHARE: f64 = 0.4;
+
 /// State of one task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Progress {
@@ -210,6 +214,12 @@
         })
     }
 
+    /// Least time until the job could be done, by the declared durations of the tasks that wait.
+    pub fn least_left(&self) -> Duration {
+        let longest = self.startable().map(|(step, _)| self.request.steps[step].estimate).max();
+        longest.unwrap_or_default().mul_f64(LEAST_SHARE)
+    }
+
     /// Core-seconds of the tasks that are neither done nor out, by the declared durations.
     pub fn waiting_work(&self) -> f64 {
         let waits = |tasks: &Vec<Progress>| {
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -63,7 +63,11 @@
         self.sequence += 1;
         let id = request.id.clone();
         let job = Job::new(request, self.sequence);
-        let refusal = self.refusal(&job, now);
+        let load = self.load(now);
+        let ahead = self.work_ahead(&job, now);
+        let refusal = self.refusal(&job, &load, ahead, now);
+        let taken = Decision::Taken { job: id.clone(), load, ahead };
+        self.effects.push(Effect::Note(taken));
         let key = self.jobs.insert(job);
         self.ids.insert(id, key);
         match refusal {
@@ -87,12 +91,14 @@
     }
 
     /// Why a job can't be taken, with the expected wait.
-    fn refusal(&self, job: &Job, now: Time) -> Option<(&'static str, Duration)> {
-        let load = self.load(now);
-        let rank = self.options.order.rank(job, now);
-        let ahead = self.jobs.values().filter(|other| self.options.order.rank(other, now) < rank);
-        let work: f64 = ahead.map(Job::waiting_work).sum();
-        let expected = admission::expected_wait(&load, work);
+    fn refusal(
+        &self,
+        job: &Job,
+        load: &Load,
+        ahead: f64,
+        now: Time,
+    ) -> Option<(&'static str, Duration)> {
+        let expected = admission::expected_wait(load, ahead);
         if !self.could_run(job) {
             return Some(("no upstream can hold a task", expected));
         }
@@ -101,6 +107,13 @@
         (waited.saturating_add(expected) > patience).then_some(("the queue is too long", expected))
     }
 
+    /// Core-seconds of waiting tasks that go before those of a job.
+    fn work_ahead(&self, job: &Job, now: Time) -> f64 {
+        let rank = self.options.order.rank(job, now);
+        let before = self.jobs.values().filter(|other| self.options.order.rank(other, now) < rank);
+        before.map(Job::waiting_work).sum()
+    }
+
     /// Whether each task fits an upstream that is known, busy or not.
     fn could_run(&self, job: &Job) -> bool {
         job.request.steps.iter().all(|step| {
@@ -149,7 +162,9 @@
         if outcome == Outcome::Completed {
             self.learn(&job);
         }
-        self.effects.push(Effect::Finish { job: key, outcome });
+        let in_time = now <= job.wanted();
+        let id = job.request.id.clone();
+        self.effects.push(Effect::Finish { job: key, id, outcome, in_time });
     }
 
     /// Learns upstreams' speeds from the runs of one job, whose work is much alike.
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -21,7 +21,7 @@
     /// Takes an upstream's list of runs, asked for at `sent`.
     pub fn listed(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        upstream.look_out = false;
+        upstream.looks_out = upstream.looks_out.saturating_sub(1);
         if upstream.mute {
             upstream.mute = false;
             self.note_upstream(key, "answers again", now);
@@ -84,6 +84,7 @@
             };
             seen.push(run_key);
             let Some(run) = self.runs.get_mut(run_key) else { continue };
+            run.seen = true;
             if run.state == State::Starting {
                 run.state = State::Running;
                 run.settled = Some(now);
@@ -131,7 +132,7 @@
     /// An upstream gave no answer to a look.
     pub fn look_failed(&mut self, key: UpstreamKey, unreachable: bool, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        upstream.look_out = false;
+        upstream.looks_out = upstream.looks_out.saturating_sub(1);
         upstream.misses += 1;
         if unreachable {
             self.unreachable(key, now);
@@ -203,16 +204,29 @@
 
     /// Looks at an upstream if it is due and no look is out.
     pub(super) fn look(&mut self, key: UpstreamKey, now: Time) {
-        let lease = self.options.lease;
         let wary = now < self.wary_until;
         let wait = if wary { self.options.wary_look } else { self.options.look };
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        if upstream.looks_out > 0 || now < upstream.look_due {
+            return;
+        }
+        self.send_look(key, wait, now);
+    }
+
+    /// Looks at an upstream beside a look that waits for an end: a run that never began has none.
+    pub(super) fn look_again(&mut self, key: UpstreamKey, now: Time) {
+        let out = self.upstreams.get(key).map_or(0, |upstream| upstream.looks_out);
+        if out <= 1 {
+            self.send_look(key, Duration::ZERO, now);
+        }
+    }
+
+    fn send_look(&mut self, key: UpstreamKey, wait: Duration, now: Time) {
+        let lease = self.options.lease;
         let undead = |run: &RunKey| {
             self.runs.get(*run).is_some_and(|run| run.stop_attempts >= STOP_ATTEMPTS)
         };
         let Some(upstream) = self.upstreams.get(key) else { return };
-        if upstream.look_out || now < upstream.look_due {
-            return;
-        }
         let released = upstream.tenure == Tenure::Released && upstream.runs.is_empty();
         if released {
             return;
@@ -225,7 +239,7 @@
             && !upstream.runs.iter().any(undead);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let until_ms = if prolongs { upstream.prolong(lease, now) } else { None };
-        upstream.look_out = true;
+        upstream.looks_out += 1;
         let acknowledged = upstream.acknowledged;
         let wait = if prolongs { wait } else { Duration::ZERO };
         self.effects.push(Effect::Look { upstream: key, until_ms, acknowledged, wait });
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -25,6 +25,7 @@
         }
         match answer {
             StartAnswer::Running => {
+                run.seen = true;
                 // A run that is being stopped settles with the answer to the stop.
                 if run.state == State::Starting {
                     run.state = State::Running;
@@ -72,13 +73,18 @@
         let upstream_key = run.upstream;
         if confirmed {
             run.settled = Some(now);
+            let seen = run.seen;
             if let Some(upstream) = self.upstreams.get_mut(upstream_key) {
                 if let Some(clock_ms) = clock_ms {
                     upstream.read_clock(clock_ms, now);
                 }
                 upstream.look_due = now;
             }
-            self.look(upstream_key, now);
+            if seen {
+                self.look(upstream_key, now);
+            } else {
+                self.look_again(upstream_key, now);
+            }
             return;
         }
         run.stop_attempts += 1;
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -5,7 +5,7 @@
 use crate::pool::placement::Choice;
 use crate::pool::run::{Run, State};
 use crate::pool::upstream::Upstream;
-use crate::pool::{Effect, JobKey, Task, UpstreamKey};
+use crate::pool::{Decision, Effect, JobKey, Task, UpstreamKey};
 use std::time::Duration;
 
 /// How many times as long a task takes on another rack than the one where its data lies, at most
@@ -134,6 +134,7 @@
             ordered: now,
             expected,
             settled: None,
+            seen: false,
             stop_attempts: 0,
             percent: 0,
             percent_since: now,
@@ -142,6 +143,15 @@
         upstream.used.add(&needs);
         upstream.runs.push(run);
         self.tasks.insert((task.clone(), number), run);
+        self.effects.push(Effect::Note(Decision::Placed {
+            task: task.clone(),
+            number,
+            upstream: upstream.record.name.clone(),
+            expected,
+            speed: upstream.speed.factor(),
+            heard: now.since(upstream.answered),
+            age: now.since(job.request.received),
+        }));
         let spec = job.request.spec.clone();
         let upstream = upstream_key;
         self.effects.push(Effect::Start { upstream, run, task, number, spec, until_ms });
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -33,8 +33,13 @@
             let waited = now.since(job.request.received);
             if !job.begun && !job.ran && waited > self.patience(job) {
                 self.refuse(key, "nothing was free in time", waited, now);
-            } else if now >= job.useless(self.options.late_factor) {
+                continue;
+            }
+            let useless = job.useless(self.options.late_factor);
+            if now >= useless {
                 self.give_up(key, "its time is over", now);
+            } else if useless.since(now) < job.least_left() {
+                self.give_up(key, "its time is too short", now);
             }
         }
     }
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -90,7 +90,7 @@
     pub(super) fn forget(&mut self) {
         let gone = |upstream: &Upstream| {
             let released = upstream.tenure == Tenure::Released || upstream.missing_since.is_some();
-            released && upstream.runs.is_empty() && !upstream.look_out
+            released && upstream.runs.is_empty() && upstream.looks_out == 0
         };
         let keys: Vec<UpstreamKey> =
             self.upstreams.iter().filter(|(_, u)| gone(u)).map(|(key, _)| key).collect();
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -56,6 +56,8 @@
     /// From here on no order is under way that could still begin it: if a look that was sent later
     /// doesn't show it, it is over.
     pub settled: Option<Time>,
+    /// Whether the upstream has said that it runs.
+    pub seen: bool,
     /// Orders to stop it that got no answer.
     pub stop_attempts: u32,
     /// Percent of its work when it was last listed, and since when.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -80,7 +80,8 @@
     pub runs: Vec<RunKey>,
     pub used: Needs,
     pub foreign: Foreign,
-    pub look_out: bool,
+    /// Looks without an answer yet.
+    pub looks_out: u32,
     pub look_due: Time,
     /// When everything that runs there has surely lapsed, as far as orders of this dispatcher go.
     pub lapsed: Time,
@@ -112,7 +113,7 @@
             runs: Vec::new(),
             used: Needs::default(),
             foreign: Foreign::default(),
-            look_out: false,
+            looks_out: 0,
             look_due: now,
             lapsed: now,
             misses: 0,
--- /dev/null
+++ b/crates/heathertrack/tests/pool.rs
@@ -0,0 +1,304 @@
+//! The dispatcher, order by order.
+
+use heathertrack::clock::Time;
+use heathertrack::name::{DataCentre, Upstream};
+use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
+use heathertrack::pool::upstream::Record;
+use heathertrack::pool::{
+    Effect, End, Ended, Listing, Options, Pool, Row, RunKey, StartAnswer, Task, UpstreamKey,
+};
+use std::time::Duration;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn record(name: &str) -> Record {
+    Record {
+        name: Upstream::new(name),
+        address: "10.0.0.1:80".into(),
+        service: "service".into(),
+        data_centre: DataCentre::new("a"),
+        capacity: Needs { cpu: 16_000, memory: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+        born_ms: Some(1),
+    }
+}
+
+fn job(id: &str, count: u32, cpu: u32) -> Request {
+    let needs = Needs { cpu, memory: 1, accelerators: 0 };
+    let estimate = Duration::from_millis(200);
+    Request {
+        id: Id::new(id),
+        spec: "".into(),
+        class: "class".into(),
+        service: "service".into(),
+        priority: 0,
+        max_attempts: 2,
+        steps: vec![Step { count, needs, estimate, ..Step::default() }],
+        received: at(100),
+        objective: Duration::from_millis(380),
+        deadline: at(2_000),
+    }
+}
+
+fn listing(running: Vec<Row>, ended: Vec<End>) -> Listing {
+    Listing { clock_ms: 5_000, born_ms: 1, running, ended }
+}
+
+/// A dispatcher that owns upstreams of these names, which are idle.
+fn pool(names: &[&str]) -> Pool {
+    let mut pool = Pool::new(Options::default());
+    for name in names {
+        pool.know(record(name), true, None, at(90));
+    }
+    for key in looks(&pool.take_effects()) {
+        pool.listed(key, &listing(Vec::new(), Vec::new()), at(90), at(91));
+    }
+    pool.take_effects();
+    pool
+}
+
+fn looks(effects: &[Effect]) -> Vec<UpstreamKey> {
+    let look = |effect: &Effect| match effect {
+        Effect::Look { upstream, .. } => Some(*upstream),
+        _ => None,
+    };
+    effects.iter().filter_map(look).collect()
+}
+
+fn starts(effects: &[Effect]) -> Vec<(UpstreamKey, RunKey, Task, u32)> {
+    let start = |effect: &Effect| match effect {
+        Effect::Start { upstream, run, task, number, .. } => {
+            Some((*upstream, *run, task.clone(), *number))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+fn stops(effects: &[Effect]) -> Vec<RunKey> {
+    let stop = |effect: &Effect| match effect {
+        Effect::Stop { run, .. } => Some(*run),
+        _ => None,
+    };
+    effects.iter().filter_map(stop).collect()
+}
+
+fn outcome(effects: &[Effect]) -> Option<Outcome> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Finish { outcome, .. } => Some(outcome.clone()),
+        _ => None,
+    })
+}
+
+fn end(sequence: u64, task: &Task, number: u32, how: Ended) -> End {
+    End { sequence, task: Some(task.clone()), number, how }
+}
+
+#[test]
+fn a_job_is_done_when_all_its_runs_are() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(job("j", 2, 6_800), at(100));
+    let started = starts(&pool.take_effects());
+    let upstream = started[0].0;
+    for (_, run, _, _) in &started {
+        pool.started(*run, StartAnswer::Running, Some(5_001), at(101));
+    }
+
+    let ends = started.iter().enumerate();
+    let ends = ends.map(|(n, (_, _, task, number))| end(n as u64 + 1, task, *number, Ended::Done));
+    pool.listed(upstream, &listing(Vec::new(), ends.collect()), at(102), at(300));
+
+    assert_eq!(started.len(), 2);
+    assert_eq!(outcome(&pool.take_effects()), Some(Outcome::Completed));
+}
+
+#[test]
+fn a_lost_start_is_stopped_before_the_task_starts_elsewhere() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (_, run, task, _) = starts(&pool.take_effects()).remove(0);
+
+    pool.started(run, StartAnswer::Unknown, None, at(130));
+    let effects = pool.take_effects();
+
+    assert_eq!(stops(&effects), vec![run]);
+    assert!(starts(&effects).is_empty(), "{task} may still begin");
+}
+
+#[test]
+fn a_lost_start_costs_two_round_trips_beside_a_waiting_look() {
+    let mut pool = pool(&["u1"]);
+    // Another job's run keeps a look waiting for its end.
+    pool.submit(job("other", 1, 6_800), at(99));
+    let (upstream, other, other_task, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(other, StartAnswer::Running, Some(5_000), at(99));
+    assert_eq!(looks(&pool.take_effects()).len(), 1);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (_, run, _, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Unknown, None, at(130));
+    pool.take_effects();
+
+    pool.stopped(run, true, Some(5_031), at(131));
+    let looked = looks(&pool.take_effects());
+    let row = Row { task: other_task, number: 1, percent: 10 };
+    pool.listed(upstream, &listing(vec![row], Vec::new()), at(131), at(132));
+
+    assert_eq!(looked, vec![upstream]);
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
+
+#[test]
+fn a_start_without_room_leaves_the_job_not_run() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (_, run, _, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::NoRoom, Some(5_001), at(101));
+
+    pool.tick(at(195));
+
+    let Some(Outcome::NotRun { retry_after, .. }) = outcome(&pool.take_effects()) else {
+        panic!("the job was not refused");
+    };
+    assert!(retry_after > Duration::ZERO);
+}
+
+#[test]
+fn a_job_of_which_a_run_ended_is_never_called_not_run() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+    let ends = vec![end(1, &task, number, Ended::Failed)];
+    pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
+    let (_, run, _, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::NoRoom, Some(5_020), at(111));
+    pool.know(Record { draining: true, ..record("u1") }, true, None, at(112));
+
+    pool.tick(at(1_990));
+
+    assert!(matches!(outcome(&pool.take_effects()), Some(Outcome::MayHaveRun(_))));
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    for sequence in 1..=2 {
+        let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
+        pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+        let ends = vec![end(sequence, &task, number, Ended::Failed)];
+        pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
+    }
+
+    assert_eq!(outcome(&pool.take_effects()), Some(Outcome::Failed));
+}
+
+#[test]
+fn a_cancelled_job_is_stopped() {
+    let mut pool = pool(&["u1"]);
+    let key = pool.submit(job("j", 2, 6_800), at(100));
+    let started = starts(&pool.take_effects());
+    for (_, run, _, _) in &started {
+        pool.started(*run, StartAnswer::Running, Some(5_001), at(101));
+    }
+
+    pool.cancel(key, at(120));
+
+    assert_eq!(stops(&pool.take_effects()).len(), 2);
+    assert!(!pool.is_idle(), "the runs hold their room until their ends are listed");
+}
+
+#[test]
+fn a_job_that_fits_nowhere_is_refused_at_once() {
+    let mut pool = pool(&["u1"]);
+
+    pool.submit(job("j", 1, 99_000), at(100));
+
+    assert!(matches!(outcome(&pool.take_effects()), Some(Outcome::NotRun { .. })));
+}
+
+#[test]
+fn runs_whose_lease_lapsed_free_their_tasks() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, _, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+    pool.take_effects();
+    // All looks fail. The first failure prolongs the lease once more, the others don't.
+    for ms in [200, 300, 400] {
+        pool.look_failed(upstream, false, at(ms));
+    }
+    pool.take_effects();
+
+    pool.tick(at(910));
+    let early = starts(&pool.take_effects());
+    pool.tick(at(920));
+    let late = starts(&pool.take_effects());
+
+    assert!(early.is_empty(), "the lease prolonged at 200 ms lasts 700 ms on a clock 2% slow");
+    assert_eq!(late.len(), 1);
+    assert_ne!(late[0].0, upstream);
+}
+
+#[test]
+fn runs_of_an_unknown_dispatcher_are_waited_for() {
+    let mut pool = Pool::new(Options::default());
+    pool.know(record("u1"), true, None, at(0));
+    let upstream = looks(&pool.take_effects())[0];
+    let task = Task { job: Id::new("foreign"), occurrence: 0, step: 0, index: 0 };
+    let row = || Row { task: task.clone(), number: 1, percent: 1 };
+
+    pool.listed(upstream, &listing(vec![row()], Vec::new()), at(0), at(1));
+    pool.submit(job("beside", 1, 6_800), at(100));
+    let beside = pool.take_effects();
+    pool.listed(upstream, &listing(Vec::new(), Vec::new()), at(150), at(151));
+    pool.submit(job("alone", 1, 6_800), at(152));
+    let alone = pool.take_effects();
+
+    assert!(starts(&beside).is_empty());
+    assert!(matches!(outcome(&beside), Some(Outcome::NotRun { .. })));
+    assert_eq!(starts(&alone).len(), 1);
+}
+
+#[test]
+fn a_job_that_can_no_longer_be_useful_is_given_up_at_once() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+    let ends = vec![end(1, &task, number, Ended::Failed)];
+    pool.know(Record { draining: true, ..record("u1") }, true, None, at(102));
+    pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
+    pool.take_effects();
+
+    // An answer is of use until 1,240 ms, and the task takes 200 ms at usual speed.
+    pool.tick(at(1_000));
+    let before = outcome(&pool.take_effects());
+    pool.tick(at(1_190));
+    let after = outcome(&pool.take_effects());
+
+    assert_eq!(before, None);
+    assert!(matches!(after, Some(Outcome::MayHaveRun(_))));
+}
+
+#[test]
+fn an_upstream_that_fails_two_jobs_is_left_out() {
+    let mut pool = pool(&["u1"]);
+    for (sequence, id) in ["j1", "j2"].into_iter().enumerate() {
+        let key = pool.submit(job(id, 1, 6_800), at(100));
+        let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
+        pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+        let ends = vec![end(sequence as u64 + 1, &task, number, Ended::Failed)];
+        pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
+        pool.cancel(key, at(111));
+    }
+    pool.take_effects();
+
+    pool.submit(job("j3", 1, 6_800), at(120));
+    let at_once = starts(&pool.take_effects());
+
+    assert!(at_once.is_empty());
+}
--- a/crates/heathertrack_cli/src/check.rs
+++ b/crates/heathertrack_cli/src/check.rs
@@ -8,7 +8,7 @@
 use heathertrackd::Settings;
 use miette::{IntoDiagnostic, Report, WrapErr};
 use serde_json::{Value, json};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Runs the command.
 pub fn run(command: &Check, json: bool) -> Result<Exit, Report> {
@@ -21,6 +21,7 @@
             }
             Ok(report(&all, check.files.len(), json))
         }
+        CheckWhat::Platform(check) => check_platform(&check.files, json),
         CheckWhat::Lists(check) => {
             let mut all = Vec::new();
             let mut documents = Vec::new();
@@ -37,6 +38,27 @@
     }
 }
 
+fn check_platform(files: &[PathBuf], json: bool) -> Result<Exit, Report> {
+    let mut all = Vec::new();
+    for file in files {
+        let (name, text) = read(file)?;
+        let findings = heathertrack_adapter::settings::read(&text).err().unwrap_or_default();
+        all.extend(findings.into_iter().map(|finding| (name.clone(), finding)));
+    }
+    if json {
+        let entry =
+            |(file, message): &(String, String)| json!({ "file": file, "message": message });
+        let entries: Vec<Value> = all.iter().map(entry).collect();
+        println!("{}", json!({ "files": files.len(), "findings": entries }));
+    } else if all.is_empty() {
+        println!("{} checked, nothing found", files.len());
+    }
+    for (file, finding) in all.iter().filter(|_| !json) {
+        eprintln!("{file}: {finding}");
+    }
+    Ok(if all.is_empty() { Exit::Done } else { Exit::Findings })
+}
+
 /// Reads a file; gives its name and text.
 pub fn read(path: &Path) -> Result<(String, String), Report> {
     let name = path.display().to_string();
--- a/crates/heathertrack_cli/src/command.rs
+++ b/crates/heathertrack_cli/src/command.rs
@@ -28,6 +28,7 @@
     Submit(Submit),
     Cancel(Cancel),
     Watch(Watch),
+    Explain(Explain),
 }
 
 /// Check settings or lists and print every finding with its place.
@@ -43,6 +44,7 @@
 pub enum CheckWhat {
     Settings(CheckSettings),
     Lists(CheckLists),
+    Platform(CheckPlatform),
 }
 
 /// Check the settings of entry hosts.
@@ -54,6 +56,15 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Check the settings files of entry hosts on the users' platform.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "platform")]
+pub struct CheckPlatform {
+    /// files of settings, in TOML
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Check lists; given both, also that every plan named has an allowance.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "lists")]
@@ -180,3 +191,15 @@
     #[argh(positional)]
     pub key: String,
 }
+
+/// Tell what became of a request, from the logs of entry hosts on the users' platform.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// identifier of the request's job
+    #[argh(positional)]
+    pub id: String,
+    /// log files of all hosts
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- /dev/null
+++ b/crates/heathertrack_cli/src/explain.rs
@@ -0,0 +1,114 @@
+//! Tells what became of a request, from the logs of all hosts.
+
+use crate::check::read;
+use crate::command::Explain;
+use crate::exit::Exit;
+use miette::Report;
+use serde_json::{Value, json};
+
+/// Fields that every line has, or that are told apart from the others.
+const TOLD: [&str; 6] = ["event", "time_ms", "host", "data_centre", "id", "left_out"];
+
+/// Runs the command.
+pub fn run(command: &Explain, json: bool) -> Result<Exit, Report> {
+    let mut lines = Vec::new();
+    for file in &command.files {
+        let (_, text) = read(file)?;
+        lines.extend(text.lines().filter_map(|line| parse(line, &command.id)));
+    }
+    lines.sort_by_key(|line| line["time_ms"].as_u64());
+    let cause = cause(&lines);
+    if json {
+        println!("{}", json!({ "id": command.id, "lines": lines, "cause": cause }));
+    } else {
+        let first = lines.first().and_then(|line| line["time_ms"].as_u64()).unwrap_or_default();
+        for line in &lines {
+            println!("{}", tell(line, first));
+        }
+        println!("{cause}");
+    }
+    Ok(if lines.is_empty() { Exit::Failed } else { Exit::Done })
+}
+
+/// A line about the request. What stands before the JSON, such as a collector's time, is left out.
+fn parse(line: &str, id: &str) -> Option<Value> {
+    let value: Value = serde_json::from_str(&line[line.find('{')?..]).ok()?;
+    value["id"].as_str().is_some_and(|own| own == id || own.ends_with(id)).then_some(value)
+}
+
+fn tell(line: &Value, first: u64) -> String {
+    let text = |name: &str| line[name].as_str().unwrap_or("?").to_owned();
+    let after = line["time_ms"].as_u64().unwrap_or_default().saturating_sub(first);
+    let fields = line.as_object().into_iter().flatten();
+    let fields: Vec<String> = fields
+        .filter(|(name, value)| !TOLD.contains(&name.as_str()) && !value.is_null())
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    format!("+{after:>6} ms  {:<16} {:<18} {}", text("host"), text("event"), fields.join(" "))
+}
+
+/// The cause in a sentence, from the decisions that ended the request.
+fn cause(lines: &[Value]) -> String {
+    let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
+    let text = |line: &Value, name: &str| line[name].as_str().unwrap_or("unknown").to_owned();
+    let number = |line: &Value, name: &str| line[name].as_f64().unwrap_or_default();
+    if let Some(line) = last("request_refused") {
+        let status = number(line, "status");
+        return format!("refused with {status}: {}", text(line, "why"));
+    }
+    if let Some(line) = last("job_not_run") {
+        return match last("job_refused") {
+            Some(refused) => format!(
+                "refused by {}: {}; it had waited {} ms and expected {} ms more",
+                text(refused, "host"),
+                text(refused, "why"),
+                number(refused, "waited_ms"),
+                number(refused, "expected_wait_ms"),
+            ),
+            None => format!("refused: {}", text(line, "why")),
+        };
+    }
+    if let Some(line) = last("job_failed") {
+        let failures = lines.iter().filter(|line| line["how"] == "failed").count();
+        return format!(
+            "failed after {} ms: a task failed as often as it may ({failures} failed runs)",
+            number(line, "age_ms")
+        );
+    }
+    if let Some(line) = last("job_unfinished") {
+        return format!(
+            "not finished after {} ms: {}{}",
+            number(line, "age_ms"),
+            text(line, "why"),
+            lost_runs(lines)
+        );
+    }
+    if let Some(line) = last("job_late") {
+        return format!(
+            "late: {} ms, wanted within {} ms{}",
+            number(line, "age_ms"),
+            number(line, "objective_ms"),
+            lost_runs(lines)
+        );
+    }
+    if last("job_completed").is_some() {
+        return "answered in time".to_owned();
+    }
+    "no line tells how it ended: the host that took it may have died, or its caller left".to_owned()
+}
+
+/// Runs without a result, as an afterthought to a cause.
+fn lost_runs(lines: &[Value]) -> String {
+    let lost = lines.iter().filter(|line| line["event"] == "run_ended");
+    let lost: Vec<String> = lost
+        .map(|line| {
+            let text = |name: &str| line[name].as_str().unwrap_or("?");
+            format!("{} {} on {}", text("task"), text("how"), text("upstream"))
+        })
+        .collect();
+    if lost.is_empty() {
+        String::new()
+    } else {
+        format!("; runs without result: {}", lost.join(", "))
+    }
+}
--- a/crates/heathertrack_cli/src/main.rs
+++ b/crates/heathertrack_cli/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod command;
 mod exit;
+mod explain;
 mod jobs;
 mod lists;
 mod operators;
@@ -23,6 +24,7 @@
         Command::Submit(command) => jobs::submit(&command, json).await,
         Command::Cancel(command) => jobs::cancel(&command, json).await,
         Command::Watch(command) => jobs::watch(&command, json).await,
+        Command::Explain(command) => explain::run(&command, json),
     };
     exit.unwrap_or_else(|report| {
         eprintln!("{report:?}");
--- a/crates/heathertrackd/src/entry.rs
+++ b/crates/heathertrackd/src/entry.rs
@@ -20,6 +20,7 @@
 mod state;
 mod submit;
 mod tick;
+mod trail;
 
 pub use boot_clock::{BootClock, Clock};
 pub use journal::Journal;
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -209,6 +209,7 @@
             Outcome::MayHaveRun(_) => "job_unfinished",
         };
         metrics::answered(&class, self.record.data_centre.as_str(), event, age);
+        self.journal.end_trail(&id, event != "job_completed");
         self.journal.job_ended(
             event,
             json!({
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -48,7 +48,11 @@
                 Effect::Look { upstream, until_ms, acknowledged, wait } => {
                     self.look(upstream, Look { until_ms, acknowledged, wait });
                 }
-                Effect::Finish { job, outcome } => self.finish(job, outcome),
+                Effect::Finish { job, id, outcome, in_time } => {
+                    let served = outcome == Outcome::Completed && in_time;
+                    self.journal.end_trail(&id, !served);
+                    self.finish(job, outcome);
+                }
                 Effect::Note(decision) => {
                     if let Decision::Refused { why, .. } | Decision::GivenUp { why, .. } = &decision
                     {
--- a/crates/heathertrackd/src/entry/journal.rs
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -1,21 +1,24 @@
 //! The log on standard output: JSON lines, bounded for each kind, written by a thread of its own.
 
 use super::metrics;
+use super::trail::{Line, Trails};
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
-use heathertrack::pool::{Decision, StartAnswer};
+use heathertrack::pool::job::Id;
+use heathertrack::pool::{Decision, Load, StartAnswer};
 use heathertrack_platform::{Deployment, Fault, Start};
 use serde_json::{Value, json};
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger, Record, StringBuf, ThreadPool};
+use std::cell::RefCell;
 use std::fmt::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Lines of one kind written per second; what is left out is counted in the next line of the kind.
-const PER_SECOND: u32 = 60;
+const PER_SECOND: u32 = 200;
 /// Lines that may wait for the writing thread; further ones are dropped rather than waited for.
 const QUEUE: usize = 2_048;
 
@@ -25,6 +28,8 @@
     limiter: Limiter,
     host: String,
     data_centre: String,
+    /// Lines that wait for the end of their jobs.
+    trails: RefCell<Trails>,
 }
 
 impl fmt::Debug for Journal {
@@ -81,16 +86,20 @@
             limiter: Limiter::new(PER_SECOND),
             host: host.to_string(),
             data_centre: data_centre.to_string(),
+            trails: RefCell::default(),
         })
     }
 
     /// Writes a line, unless too many of its kind came in this second.
-    pub fn write(&self, event: &'static str, mut fields: Value) {
+    pub fn write(&self, event: &'static str, fields: Value) {
+        self.write_at(event, unix_ms(), fields);
+    }
+
+    fn write_at(&self, event: &'static str, time_ms: u64, mut fields: Value) {
         let Some(left_out) = self.limiter.allow(event) else { return };
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         if let Some(fields) = fields.as_object_mut() {
             fields.insert("event".to_owned(), event.into());
-            fields.insert("time_ms".to_owned(), (now.as_millis() as u64).into());
+            fields.insert("time_ms".to_owned(), time_ms.into());
             fields.insert("host".to_owned(), self.host.clone().into());
             fields.insert("data_centre".to_owned(), self.data_centre.clone().into());
             if left_out > 0 {
@@ -101,6 +110,30 @@
         spdlog::log!(logger: self.logger, Level::Info, "{fields}");
     }
 
+    /// Keeps a line until it is known how its job ends.
+    fn keep(&self, job: &Id, event: &'static str, fields: Value) {
+        let line = Line { event, time_ms: unix_ms(), fields };
+        self.trails.borrow_mut().add(job, line);
+    }
+
+    /// A job has ended: writes what was kept of it, or drops it.
+    pub fn end_trail(&self, job: &Id, write: bool) {
+        let lines = self.trails.borrow_mut().take(job);
+        for line in lines.into_iter().filter(|_| write) {
+            self.write_at(line.event, line.time_ms, line.fields);
+        }
+    }
+
+    /// A job goes to a dispatcher; `load` is what that told last.
+    pub fn routed(&self, job: &Id, dispatcher: &Host, load: &Load, handed: f64, peers: usize) {
+        let fields = json!({
+            "id": job.as_str(), "dispatcher": dispatcher.as_str(), "cores": load.cores,
+            "busy_cores": load.busy, "waiting_core_seconds": load.waiting,
+            "handed_cores": handed, "live_peers": peers,
+        });
+        self.keep(job, "job_routed", fields);
+    }
+
     /// The process listens.
     pub fn started(&self, deployment: &Deployment) {
         let fields = json!({
@@ -206,6 +239,20 @@
     /// A decision of the dispatcher.
     pub fn decision(&self, decision: &Decision) {
         match decision {
+            Decision::Taken { job, load, ahead } => self.keep(
+                job,
+                "job_taken",
+                json!({ "id": job.as_str(), "cores": load.cores, "busy_cores": load.busy,
+                    "places": load.places, "waiting_jobs": load.waiting_jobs,
+                    "core_seconds_ahead": ahead }),
+            ),
+            Decision::Placed { task, number, upstream, expected, speed, heard, age } => self.keep(
+                &task.job,
+                "task_started",
+                json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
+                    "upstream": upstream.as_str(), "expected_ms": ms(*expected), "speed": speed,
+                    "heard_ms": ms(*heard), "age_ms": ms(*age) }),
+            ),
             Decision::Refused { job, why, waited, expected } => self.write(
                 "job_refused",
                 json!({ "id": job.as_str(), "why": why, "waited_ms": ms(*waited),
@@ -236,3 +283,8 @@
 pub fn ms(span: Duration) -> f64 {
     (span.as_secs_f64() * 10_000.0).round() / 10.0
 }
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -1,5 +1,6 @@
 //! Hands a job to a dispatcher and waits for its outcome.
 
+use super::boot_clock::Clock;
 use super::frame::{Frame, Submit};
 use super::node::{Entry, Environment};
 use super::routing::cores;
@@ -65,6 +66,7 @@
                 break;
             }
             let Some(host) = self.dispatcher(&job.steps, &tried, now) else { break };
+            self.note_route(&job, &host);
             let mut offer = self.offer(&host, &job);
             tried.push(host);
             last = match (&mut offer.outcome).await {
@@ -78,6 +80,14 @@
         (tried.pop(), last)
     }
 
+    fn note_route(&self, job: &Request, host: &Host) {
+        let state = self.state.borrow();
+        let peer = state.peers.get(host);
+        let load = peer.map_or_else(|| state.pool.load(self.environment.clock().now()), |p| p.load);
+        let handed = peer.map_or(0.0, |peer| peer.handed_cores);
+        self.journal.routed(&job.id, host, &load, handed, state.peers.len());
+    }
+
     fn offer(self: &Rc<Self>, host: &Host, job: &Request) -> Offer<E> {
         let (reply, outcome) = oneshot::channel();
         let now = self.now();
