Let dispatchers stay when hosts join or return, and link newcomers at once

Each takeover leaves upstreams with runs unused for up to a lease. Newcomers had few links, as the others learned of them only with their next question to the store, and double links replaced each other. Change: a host that dispatches counts one and a half times its processor share in the choice; a host dials all others in its first half second; of two links to one process that of the smaller name stays.

--- a/crates/heathertrack/src/pool/ownership.rs
+++ b/crates/heathertrack/src/pool/ownership.rs
@@ -6,6 +6,11 @@
 /// left for callers, bursts and takeovers.
 const UPSTREAMS_PER_CORE: f64 = 240.0;
 
+/// What a dispatcher's share of a core counts against that of a host that doesn't dispatch yet. A
+/// takeover costs up to a lease's time of some upstreams, so hosts that come or return don't bring
+/// one about unless they are much larger.
+const INCUMBENT: f64 = 1.5;
+
 /// A host that could dispatch.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -15,10 +20,19 @@
     pub data_centre: DataCentre,
     /// Share of a core that it has.
     pub cpu_share: f64,
+    /// Whether it dispatches already.
+    pub incumbent: bool,
+}
+
+impl Candidate {
+    fn weight(&self) -> f64 {
+        if self.incumbent { self.cpu_share * INCUMBENT } else { self.cpu_share }
+    }
 }
 
 /// The hosts that dispatch for `upstreams` upstreams of a data centre: as few as carry them, as a
-/// queue for many upstreams serves better than several for a few each, and the largest first.
+/// queue for many upstreams serves better than several for a few each, and the largest first, those
+/// that dispatch already before others.
 ///
 /// `candidates` are the hosts of the data centre that are alive and don't leave; if there are none,
 /// all that are alive.
@@ -31,12 +45,13 @@
     let mut chosen = Vec::new();
     let mut carried = 0.0;
     while (chosen.is_empty() || carried < upstreams as f64) && !left.is_empty() {
-        let largest = left.iter().map(|c| c.cpu_share).fold(0.0, f64::max);
-        let hosts = left.iter().filter(|c| c.cpu_share >= largest).map(|c| &c.host);
+        let largest = left.iter().map(|c| c.weight()).fold(0.0, f64::max);
+        let hosts = left.iter().filter(|c| c.weight() >= largest).map(|c| &c.host);
         let role = format!("dispatcher {data_centre} {}", chosen.len());
         let Some(host) = rendezvous(&role, hosts).cloned() else { break };
+        let share = left.iter().find(|c| c.host == host).map_or(0.0, |c| c.cpu_share);
         left.retain(|candidate| candidate.host != host);
-        carried += largest * UPSTREAMS_PER_CORE;
+        carried += share * UPSTREAMS_PER_CORE;
         chosen.push(host);
     }
     chosen
--- /dev/null
+++ b/crates/heathertrack/tests/ownership.rs
@@ -0,0 +1,46 @@
+//! Which hosts dispatch.
+
+use heathertrack::name::{DataCentre, Host};
+use heathertrack::pool::{Candidate, dispatchers};
+
+fn host(name: &str, cpu_share: f64, incumbent: bool) -> Candidate {
+    let (host, data_centre) = (Host::new(name), DataCentre::new("a"));
+    Candidate { host, data_centre, cpu_share, incumbent }
+}
+
+fn chosen(upstreams: usize, hosts: &[Candidate]) -> Vec<String> {
+    let chosen = dispatchers(&DataCentre::new("a"), upstreams, hosts);
+    chosen.iter().map(Host::to_string).collect()
+}
+
+#[test]
+fn a_host_that_joins_takes_nothing_over() {
+    for names in [["h1", "h2", "h3"], ["h2", "h3", "h1"], ["h3", "h1", "h2"]] {
+        let incumbent = host(names[0], 0.25, true);
+        let others = names[1..].iter().map(|name| host(name, 0.25, false));
+        let hosts: Vec<Candidate> = [incumbent].into_iter().chain(others).collect();
+
+        assert_eq!(chosen(16, &hosts), vec![names[0]]);
+    }
+}
+
+#[test]
+fn a_much_larger_host_takes_over() {
+    let hosts = [host("small", 0.09, true), host("large", 0.5, false)];
+
+    assert_eq!(chosen(16, &hosts), vec!["large"]);
+}
+
+#[test]
+fn as_many_dispatch_as_carry_the_upstreams() {
+    let hosts: Vec<Candidate> = (0..6).map(|n| host(&format!("h{n}"), 0.25, false)).collect();
+
+    assert_eq!(chosen(16, &hosts).len(), 1);
+    assert_eq!(chosen(117, &hosts).len(), 2);
+    assert_eq!(chosen(10_000, &hosts).len(), 6);
+}
+
+#[test]
+fn without_hosts_nobody_dispatches() {
+    assert!(chosen(16, &[]).is_empty());
+}
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -51,6 +51,8 @@
     pub data_centre: String,
     pub peers: SocketAddr,
     pub cpu_share: f64,
+    /// Drawn anew at each start of the sender's process.
+    pub incarnation: u64,
 }
 
 /// What the sender believes of itself.
@@ -58,6 +60,8 @@
 pub struct Beat {
     /// It is about to stop and takes no more jobs.
     pub leaving: bool,
+    /// It owns upstreams of its own data centre.
+    pub dispatches: bool,
     /// Revision of its copy of the store.
     pub revision: u64,
     /// Version of its configuration.
@@ -121,9 +125,11 @@
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
-impl From<&HostRecord> for Hello {
-    fn from(record: &HostRecord) -> Self {
+impl Hello {
+    /// What a host says of itself.
+    pub fn new(record: &HostRecord, incarnation: u64) -> Self {
         Hello {
+            incarnation,
             name: record.name.to_string(),
             data_centre: record.data_centre.to_string(),
             peers: record.peers,
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -53,7 +53,7 @@
         loop {
             match accepting.environment.net().accept(&listener).await {
                 Ok(stream) => {
-                    spawn_local(run(accepting.clone(), stream));
+                    spawn_local(run(accepting.clone(), stream, false));
                 }
                 Err(_) => sleep(DIAL_PAUSE).await,
             }
@@ -72,7 +72,7 @@
     let mut unlinked: BTreeMap<Host, Instant> = BTreeMap::new();
     loop {
         let now = Instant::now();
-        for address in entry.undialled(&mut unlinked, now, now >= started + DIAL_TURN) {
+        for address in entry.undialled(&mut unlinked, now, now < started + DIAL_TURN) {
             let (due, pause) = attempts.get(&address).copied().unwrap_or((now, DIAL_RETRY));
             if now < due {
                 continue;
@@ -84,7 +84,7 @@
                 if let Ok(Ok(stream)) =
                     timeout(DIAL_TIMEOUT, entry.environment.net().connect(address)).await
                 {
-                    run(entry.clone(), stream).await;
+                    run(entry.clone(), stream, true).await;
                 }
             });
         }
@@ -101,7 +101,7 @@
         &self,
         unlinked: &mut BTreeMap<Host, Instant>,
         now: Instant,
-        seeds: bool,
+        newcomer: bool,
     ) -> Vec<SocketAddr> {
         let state = self.state.borrow();
         let mut addresses = Vec::new();
@@ -112,11 +112,12 @@
                 continue;
             }
             let since = *unlinked.entry(host.clone()).or_insert(now);
-            if self.record.name < *host || now >= since + DIAL_TURN {
+            // Others learn of a host that has just started only when they ask the store again.
+            if newcomer || self.record.name < *host || now >= since + DIAL_TURN {
                 addresses.push(record.peers);
             }
         }
-        if seeds {
+        if !newcomer {
             let known = |seed: &&SocketAddr| {
                 **seed == self.record.peers
                     || state.hosts.values().any(|host| host.peers == **seed)
@@ -132,6 +133,7 @@
         let state = self.state.borrow();
         let beat = Beat {
             leaving: state.leaving,
+            dispatches: state.dispatches,
             revision: state.mirror.revision(),
             version: state.version(),
             cores: 0.0,
@@ -184,28 +186,31 @@
     offset_us: Cell<i64>,
 }
 
-async fn run<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream) {
+async fn run<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream, dialled: bool) {
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let framed = Framed::new(stream, codec);
     let mut link = Link { entry: entry.clone(), framed, offset_us: Cell::new(i64::MAX) };
-    let Some(record) = link.greet().await else { return };
+    let Some(hello) = link.greet().await else { return };
+    let incarnation = hello.incarnation;
+    let record = HostRecord::from(hello);
     let host = record.name.clone();
     if host == entry.record.name {
         return;
     }
     let (frames, queue) = mpsc::channel(QUEUE);
-    let number = entry.add_peer(record, frames);
+    let preferred = dialled == (entry.record.name < host);
+    let Some(number) = entry.add_peer(record, incarnation, preferred, frames) else { return };
     let why = link.serve(&host, queue).await;
     entry.remove_peer(&host, number, why);
 }
 
 impl<E: Environment> Link<E> {
-    async fn greet(&mut self) -> Option<HostRecord> {
-        let hello = Frame::Hello(Hello::from(&self.entry.record));
+    async fn greet(&mut self) -> Option<Hello> {
+        let hello = Frame::Hello(Hello::new(&self.entry.record, self.entry.incarnation));
         self.send(hello).await.ok()?;
         let (frame, _) = timeout(SILENCE, self.receive()).await.ok()??;
         let Frame::Hello(hello) = frame else { return None };
-        Some(hello.into())
+        Some(hello)
     }
 
     async fn send(&mut self, frame: Frame) -> Result<(), &'static str> {
@@ -298,8 +303,20 @@
 }
 
 impl<E: Environment> Entry<E> {
-    fn add_peer(self: &Rc<Self>, record: HostRecord, frames: mpsc::Sender<Frame>) -> u64 {
+    /// Takes a link for the one to a host, unless there is a better one to the same process.
+    fn add_peer(
+        self: &Rc<Self>,
+        record: HostRecord,
+        incarnation: u64,
+        preferred: bool,
+        frames: mpsc::Sender<Frame>,
+    ) -> Option<u64> {
         let host = record.name.clone();
+        let is_better =
+            |peer: &Peer| peer.incarnation == incarnation && peer.preferred && !preferred;
+        if self.state.borrow().peers.get(&host).is_some_and(is_better) {
+            return None;
+        }
         let number = {
             let mut state = self.state.borrow_mut();
             state.next_call += 1;
@@ -313,7 +330,10 @@
             link: number,
             record: record.clone(),
             frames,
+            incarnation,
+            preferred,
             leaving: false,
+            dispatches: false,
             load: Load::default(),
             handed_cores: 0.0,
             revision: 0,
@@ -325,7 +345,7 @@
         state.hosts.insert(host.clone(), record);
         state.owners_stale = true;
         self.journal.peer_found(&host);
-        number
+        Some(number)
     }
 
     fn remove_peer(self: &Rc<Self>, host: &Host, link: u64, why: &str) {
@@ -370,8 +390,9 @@
         let own_version = state.version();
         let behind = state.store_failed.is_some_and(|failed| now.since(failed) < SILENCE * 4);
         let Some(peer) = state.peers.get_mut(host) else { return };
-        let changed = peer.leaving != beat.leaving;
+        let changed = peer.leaving != beat.leaving || peer.dispatches != beat.dispatches;
         peer.leaving = beat.leaving;
+        peer.dispatches = beat.dispatches;
         peer.load = beat.load();
         peer.handed_cores = 0.0;
         peer.revision = beat.revision;
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -47,6 +47,8 @@
     pub(super) journal: Journal,
     /// Peer addresses of some hosts, as the settings name them now.
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
+    /// Drawn anew at each start of the process.
+    pub(super) incarnation: u64,
     /// Lease of this host's record in the store.
     pub(super) lease: Cell<Option<LeaseKey>>,
 }
@@ -88,6 +90,7 @@
             state: RefCell::new(State::new(options)),
             journal,
             seeds: RefCell::new(deployment.seeds.clone()),
+            incarnation: rand::random(),
             lease: Cell::new(None),
             deployment,
         });
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -33,6 +33,7 @@
             let candidates = self.candidates(&state);
             let by_centre = state.upstreams_by_centre();
             let mut owned = 0;
+            let mut dispatches = false;
             let mut all = Vec::new();
             for (centre, upstreams) in by_centre {
                 let near = |candidate: &&Candidate| candidate.data_centre == centre;
@@ -51,6 +52,7 @@
                 for name in upstreams {
                     let mine = owner(&name, &chosen) == Some(&self.record.name);
                     owned += usize::from(mine);
+                    dispatches |= mine && centre == self.record.data_centre;
                     if let Some(record) = state.upstreams.get(&name).cloned() {
                         state.pool.know(record, mine, None, now);
                     }
@@ -66,6 +68,7 @@
                 self.journal.owners(owned, state.upstreams.len(), candidates.len());
             }
             state.dispatchers = all;
+            state.dispatches = dispatches;
         }
         self.carry_out();
     }
@@ -75,12 +78,14 @@
             host: self.record.name.clone(),
             data_centre: self.record.data_centre.clone(),
             cpu_share: self.record.cpu_share,
+            incumbent: state.dispatches,
         });
         let peers = state.peers.values().filter(|peer| !peer.leaving);
         let peers = peers.map(|peer| Candidate {
             host: peer.record.name.clone(),
             data_centre: peer.record.data_centre.clone(),
             cpu_share: peer.record.cpu_share,
+            incumbent: peer.dispatches,
         });
         let mut candidates: Vec<Candidate> = own.into_iter().chain(peers).collect();
         candidates.sort_by(|one, other| one.host.cmp(&other.host));
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -45,6 +45,8 @@
     pub store_failed: Option<Time>,
     /// The dispatchers of all data centres, among the live hosts.
     pub dispatchers: Vec<Host>,
+    /// Whether this host owns upstreams of its own data centre.
+    pub dispatches: bool,
     /// The owners of upstreams may have changed.
     pub owners_stale: bool,
     /// When a data centre was last seen without a live host.
@@ -58,7 +60,12 @@
     pub link: u64,
     pub record: HostRecord,
     pub frames: mpsc::Sender<Frame>,
+    /// Which process of the host it is.
+    pub incarnation: u64,
+    /// Whether the link is the one that the host with the smaller name dialled.
+    pub preferred: bool,
     pub leaving: bool,
+    pub dispatches: bool,
     pub load: Load,
     /// Cores of the jobs that were handed over since that load was told.
     pub handed_cores: f64,
@@ -105,6 +112,7 @@
             store_read: None,
             store_failed: None,
             dispatchers: Vec::new(),
+            dispatches: false,
             owners_stale: true,
             deserted: BTreeMap::new(),
         }
