Let jobs run on whose tasks take longer than declared

Declared durations are off by 40%, so one job in forty takes more than twice as long, and its true objective is as much later. Change: a job with all tasks at work or done is given up only when its caller's patience is over, one with waiting tasks after six times the objective.

--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -140,6 +140,8 @@
     MayHaveRun(&'static str),
 }
 
+/// Factor by which declared durations may be too short; errors of 40% make it one job in forty.
+const DECLARED_ERROR: u32 = 2;
 /// Share of its declared duration that a task takes at least: on a fast upstream, and by an
 /// estimate that is too long by 40%.
 const LEAST_SHARE: f64 = 0.4;
@@ -187,10 +189,14 @@
         self.request.received + self.request.objective
     }
 
-    /// After this instant an answer is of no use.
+    /// After this instant the job is given up. The objective rests on declared durations: while all
+    /// that is left of the job runs, only the caller's patience bounds it.
     pub fn useless(&self, late_factor: u32) -> Time {
-        let late = self.request.received + self.request.objective * late_factor;
-        late.min(self.request.deadline)
+        if self.startable().next().is_none() {
+            return self.request.deadline;
+        }
+        let late = self.request.objective * late_factor * DECLARED_ERROR;
+        (self.request.received + late).min(self.request.deadline)
     }
 
     pub fn is_done(&self) -> bool {
