Give a job that is sent again up while runs of its first submission are left

Callers wait 1.3 s before they send a job again, by which time the runs are over. Change: the second is answered with may have run while any run of the first is left.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -54,12 +54,14 @@
 
     /// Takes a job. Its outcome comes as [`Effect::Finish`], possibly at once.
     ///
-    /// A job that is already in progress under its identifier is ended first: the caller of the
-    /// earlier submission is gone, or it would not have sent it again.
+    /// A job that is already in progress under its identifier is ended: the caller of the earlier
+    /// submission is gone, or it would not have sent it again. While runs of that are left, the new
+    /// submission is given up too, so that no task runs twice at once; its caller may send it again.
     pub fn submit(&mut self, request: Request, now: Time) -> JobKey {
         if let Some(earlier) = self.ids.get(&request.id).copied() {
             self.end(earlier, Outcome::MayHaveRun("submitted again"), now);
         }
+        let is_left = self.runs.values().any(|run| run.task.job == request.id);
         self.sequence += 1;
         let id = request.id.clone();
         let job = Job::new(request, self.sequence);
@@ -71,6 +73,7 @@
         let key = self.jobs.insert(job);
         self.ids.insert(id, key);
         match refusal {
+            _ if is_left => self.give_up(key, "an earlier submission still runs", now),
             Some((why, expected)) => self.refuse(key, why, expected, now),
             None => self.place(now),
         }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -263,6 +263,28 @@
     assert_eq!(starts(&alone).len(), 1);
 }
 
+#[test]
+fn a_job_sent_again_waits_for_the_end_of_its_runs() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_001), at(101));
+    pool.take_effects();
+
+    pool.submit(job("j", 1, 6_800), at(110));
+    let again = pool.take_effects();
+    pool.stopped(run, true, Some(5_012), at(111));
+    let ends = vec![end(1, &task, number, Ended::Stopped)];
+    pool.listed(upstream, &listing(Vec::new(), ends), at(112), at(160));
+    pool.take_effects();
+    pool.submit(job("j", 1, 6_800), at(161));
+    let later = pool.take_effects();
+
+    assert!(starts(&again).is_empty());
+    assert_eq!(stops(&again), vec![run]);
+    assert_eq!(starts(&later).len(), 1);
+}
+
 #[test]
 fn a_job_whose_tasks_take_longer_than_declared_is_not_given_up() {
     let mut pool = pool(&["u1"]);
