--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -1,16 +1,17 @@
 //! Hosts, upstreams, store and callers of a run.
 
+mod caller;
+mod trouble;
+
 use super::clock::Virtual;
 use super::environment::{Emulation, NoFront};
-use super::fault::{Fault, Trouble};
 use super::journal::Lines;
-use super::load::{Drawn, EXTRA, STRETCH};
 use super::network::{Network, Node, Port};
 use super::orders::{Fleet, Mishaps, Orders};
 use super::plan::Plan;
 use super::process::Process;
 use super::store::{Shelf, Store};
-use super::upstream::{Emulated, Interval, Mood, Truth, Truths};
+use super::upstream::{Emulated, Interval, Truths};
 use super::verdict::{Broken, Served, Verdict};
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::Task;
@@ -34,20 +35,12 @@
 const LEAD: Duration = Duration::from_secs(3);
 /// Time for everything to end after the last caller has come.
 const TAIL: Duration = Duration::from_secs(15);
-/// Time after which a caller sends a job again whose answer is missing.
-const RESEND: Duration = Duration::from_millis(1_300);
 /// One-way delay between callers and hosts.
 const CALLER: Duration = Duration::from_millis(1);
-/// Submissions of one job at most.
-const SUBMISSIONS: usize = 3;
 /// Slack of an answer against its deadline.
 const SLACK: Duration = Duration::from_millis(300);
 /// Time that a host is given for a planned stop.
 const GRACE: Duration = Duration::from_secs(6);
-/// Late answers are of use up to this multiple of the objective.
-const LATE: u32 = 3;
-/// What a late answer is worth against one in time.
-const LATE_WORTH: f64 = 0.2;
 
 struct Machine {
     process: Process,
@@ -96,14 +89,14 @@
         }
         sleep(LEAD).await;
         for fault in world.plan.faults.clone() {
-            spawn_local(strike(world.clone(), fault));
+            spawn_local(trouble::strike(world.clone(), fault));
         }
         let end = Instant::now() + world.plan.length;
         while Instant::now() < end {
             let rate = world.plan.load.per_second() * world.burst.get();
             let pause = -world.random.borrow_mut().random_range(1e-9..1.0f64).ln() / rate;
             sleep(Duration::from_secs_f64(pause)).await;
-            spawn_local(call(world.clone()));
+            spawn_local(caller::call(world.clone()));
         }
         sleep(TAIL).await;
         world.judge()
@@ -333,250 +326,3 @@
 fn entry_clock(entry: &Rc<Entry<Emulation>>) -> &Virtual {
     entry.clock()
 }
-
-/// One caller's job, from its first submission to the end.
-async fn call(world: Rc<World>) {
-    let (drawn, id, leaves) = {
-        let mut random = world.random.borrow_mut();
-        let drawn = world.plan.load.draw(&mut random);
-        let id = Id::new(format!("{:016x}", random.random::<u64>()));
-        let leaves = random.random_bool(world.leaving.get());
-        let leaves = leaves.then(|| drawn.objective.mul_f64(random.random_range(0.05..0.9)));
-        (drawn, id, leaves)
-    };
-    world.truths.borrow_mut().insert(
-        id.clone(),
-        Truth { work: drawn.work.clone(), needs: drawn.step.needs, poison: drawn.poison },
-    );
-    let began = Instant::now();
-    let mut refusals = 0;
-    let mut submissions = 0;
-    let outcome = loop {
-        submissions += 1;
-        let request = request(&world, &drawn, &id);
-        match world.submit(request, leaves).await {
-            Answer::Outcome(Outcome::NotRun { .. }) => {
-                refusals += 1;
-                break None;
-            }
-            Answer::Outcome(Outcome::MayHaveRun(_)) | Answer::Broken => {
-                if submissions == SUBMISSIONS {
-                    break None;
-                }
-                sleep(RESEND).await;
-            }
-            Answer::Outcome(outcome) => break Some(outcome),
-            Answer::Left => return,
-            Answer::Missing(waited) => {
-                let job = id.to_string();
-                world.broken.borrow_mut().push(Broken::NoAnswer { job, waited });
-                break None;
-            }
-        }
-    };
-    if refusals == submissions {
-        world.refused.borrow_mut().insert(id);
-    }
-    let age = began.elapsed();
-    let served = &mut world.served.borrow_mut()[drawn.class];
-    served.asked += 1;
-    served.owed += drawn.worth;
-    let right = match outcome {
-        Some(Outcome::Completed) => true,
-        Some(Outcome::Failed) => drawn.poison,
-        _ => false,
-    };
-    if right && age <= drawn.objective {
-        served.in_time += 1;
-        served.earned += drawn.worth;
-    } else if right && age <= drawn.objective * LATE {
-        served.late += 1;
-        served.earned += drawn.worth * LATE_WORTH;
-    } else if refusals > 0 {
-        served.refused += 1;
-    } else {
-        served.failed += 1;
-    }
-}
-
-fn request(world: &World, drawn: &Drawn, id: &Id) -> Request {
-    let class = &world.plan.load.classes[drawn.class];
-    let zero = heathertrack::clock::Time::ZERO;
-    let objective = drawn.step.estimate.mul_f64(STRETCH) + EXTRA;
-    Request {
-        id: id.clone(),
-        spec: Arc::from(""),
-        class: Arc::from(class.name),
-        service: Arc::from("service"),
-        priority: class.priority,
-        max_attempts: 3,
-        steps: vec![drawn.step.clone()],
-        received: zero,
-        objective,
-        deadline: zero + drawn.objective * LATE + RESEND,
-    }
-}
-
-/// Lets a fault happen, and mends it.
-async fn strike(world: Rc<World>, fault: Fault) {
-    sleep(fault.at).await;
-    match fault.trouble {
-        Trouble::Kill { host, down } => world.kill(&[host], false, down).await,
-        Trouble::Power { host, down } => world.kill(&[host], true, down).await,
-        Trouble::KillAll { down } => {
-            let all: Vec<usize> = (0..world.plan.site.hosts()).collect();
-            world.kill(&all, false, down).await;
-        }
-        Trouble::Freeze { host, span } => world.freeze(host, span).await,
-        Trouble::Stop { host } => world.stop(host).await,
-        Trouble::CutHosts { from, to, span } => {
-            world.cut(&[(Node::Host(from), Node::Host(to))], span).await;
-        }
-        Trouble::CutUpstreams { host, share, back, span } => {
-            let count = (world.plan.site.upstreams() as f64 * share).ceil() as usize;
-            let way = |upstream| {
-                let (host, upstream) = (Node::Host(host), Node::Upstream(upstream));
-                if back { (upstream, host) } else { (host, upstream) }
-            };
-            let ways: Vec<_> = (0..count).map(way).collect();
-            world.cut(&ways, span).await;
-        }
-        Trouble::CutCentre { centre, span } => world.cut_centre(centre, span).await,
-        Trouble::LateOrders { share, span } => {
-            during(&world.mishaps.late, share, 0.0, span).await;
-        }
-        Trouble::LostAnswers { share, span } => {
-            during(&world.mishaps.lost, share, 0.0, span).await;
-        }
-        Trouble::Crash { upstream, down } => {
-            let upstream = world.fleet.borrow()[upstream].clone();
-            upstream.borrow_mut().crash(Instant::now());
-            upstream.borrow_mut().down = true;
-            sleep(down).await;
-            upstream.borrow_mut().crash(Instant::now());
-            upstream.borrow_mut().down = false;
-            world.shelf.put(Fact::Upstream(upstream.borrow().record.clone()));
-        }
-        Trouble::Failing { upstream, span } => {
-            world.mood(upstream, Mood { fails: true, ..Mood::default() }, span).await;
-        }
-        Trouble::Hanging { upstream, span } => {
-            world.mood(upstream, Mood { hangs: true, ..Mood::default() }, span).await;
-        }
-        Trouble::Slow { upstream, factor, span } => {
-            world.mood(upstream, Mood { slower: factor - 1.0, ..Mood::default() }, span).await;
-        }
-        Trouble::Drain { upstream, after } => world.drain(upstream, after).await,
-        Trouble::StoreDown { span } => {
-            world.shelf.down.set(true);
-            sleep(span).await;
-            world.shelf.down.set(false);
-        }
-        Trouble::Burst { factor, span } => during(&world.burst, factor, 1.0, span).await,
-        Trouble::Leaving { share, span } => {
-            during(&world.leaving, share, world.plan.load.leaving, span).await;
-        }
-    }
-}
-
-async fn during(cell: &Cell<f64>, value: f64, usual: f64, span: Duration) {
-    cell.set(value);
-    sleep(span).await;
-    cell.set(usual);
-}
-
-impl World {
-    async fn kill(&self, hosts: &[usize], power: bool, down: Duration) {
-        for host in hosts {
-            self.disturb(*host);
-            if power {
-                self.network.darken(Node::Host(*host), true);
-            }
-            let process = self.machines.borrow()[*host].process.clone();
-            process.kill();
-        }
-        sleep(down).await;
-        for host in hosts {
-            self.network.darken(Node::Host(*host), false);
-            if self.machines.borrow()[*host].process.is_dead() {
-                self.boot(*host);
-            }
-        }
-    }
-
-    async fn freeze(&self, host: usize, span: Duration) {
-        let process = self.machines.borrow()[host].process.clone();
-        self.disturb(host);
-        process.freeze(true);
-        sleep(span).await;
-        process.freeze(false);
-        self.disturb(host);
-    }
-
-    async fn stop(&self, host: usize) {
-        let (process, entry) = {
-            let mut machines = self.machines.borrow_mut();
-            let machine = &mut machines[host];
-            machine.out = true;
-            (machine.process.clone(), machine.entry.borrow().clone())
-        };
-        let Some(entry) = entry else { return };
-        let stopped = process.run(async move { entry.stop().await });
-        // A host that hangs is killed at the end of its grace period.
-        let _ = timeout(GRACE, stopped).await;
-        process.kill();
-        sleep(Duration::from_millis(300)).await;
-        self.boot(host);
-    }
-
-    async fn cut(&self, ways: &[(Node, Node)], span: Duration) {
-        for (from, to) in ways {
-            self.network.cut(*from, *to, true);
-        }
-        for node in ways.iter().flat_map(|(from, to)| [from, to]) {
-            if let Node::Host(host) = node {
-                self.disturb(*host);
-            }
-        }
-        sleep(span).await;
-        for (from, to) in ways {
-            self.network.cut(*from, *to, false);
-        }
-    }
-
-    async fn cut_centre(&self, centre: usize, span: Duration) {
-        let hosts = (0..self.plan.site.hosts()).map(Node::Host);
-        let upstreams = (0..self.plan.site.upstreams()).map(Node::Upstream);
-        let nodes: Vec<Node> = hosts.chain(upstreams).chain([Node::Store]).collect();
-        let inside = |node: &Node| self.network.centre(*node) == Some(centre);
-        let mut ways = Vec::new();
-        for one in nodes.iter().filter(|node| inside(node)) {
-            for other in nodes.iter().filter(|node| !inside(node)) {
-                ways.push((*one, *other));
-                ways.push((*other, *one));
-            }
-        }
-        self.cut(&ways, span).await;
-    }
-
-    async fn mood(&self, upstream: usize, mood: Mood, span: Duration) {
-        let upstream = self.fleet.borrow()[upstream].clone();
-        upstream.borrow_mut().mood = mood;
-        sleep(span).await;
-        upstream.borrow_mut().mood = Mood::default();
-    }
-
-    async fn drain(&self, upstream: usize, after: Duration) {
-        let upstream = self.fleet.borrow()[upstream].clone();
-        let record = Record { draining: true, ..upstream.borrow().record.clone() };
-        self.shelf.put(Fact::Upstream(record.clone()));
-        sleep(after).await;
-        upstream.borrow_mut().crash(Instant::now());
-        upstream.borrow_mut().down = true;
-        self.shelf.remove_upstream(&record.name);
-        sleep(after).await;
-        upstream.borrow_mut().down = false;
-        let record = upstream.borrow().record.clone();
-        self.shelf.put(Fact::Upstream(record));
-    }
-}
--- /dev/null
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -0,0 +1,104 @@
+//! A caller and its job.
+
+use super::{Answer, World};
+use crate::load::{Drawn, EXTRA, STRETCH};
+use crate::upstream::Truth;
+use crate::verdict::Broken;
+use heathertrack::pool::job::{Id, Outcome, Request};
+use rand::Rng;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time after which a caller sends a job again whose answer is missing.
+const RESEND: Duration = Duration::from_millis(1_300);
+/// Submissions of one job at most.
+const SUBMISSIONS: usize = 3;
+/// Late answers are of use up to this multiple of the objective.
+const LATE: u32 = 3;
+/// What a late answer is worth against one in time.
+const LATE_WORTH: f64 = 0.2;
+
+/// One caller's job, from its first submission to the end.
+pub(super) async fn call(world: Rc<World>) {
+    let (drawn, id, leaves) = {
+        let mut random = world.random.borrow_mut();
+        let drawn = world.plan.load.draw(&mut random);
+        let id = Id::new(format!("{:016x}", random.random::<u64>()));
+        let leaves = random.random_bool(world.leaving.get());
+        let leaves = leaves.then(|| drawn.objective.mul_f64(random.random_range(0.05..0.9)));
+        (drawn, id, leaves)
+    };
+    world.truths.borrow_mut().insert(
+        id.clone(),
+        Truth { work: drawn.work.clone(), needs: drawn.step.needs, poison: drawn.poison },
+    );
+    let began = Instant::now();
+    let mut refusals = 0;
+    let mut submissions = 0;
+    let outcome = loop {
+        submissions += 1;
+        let request = request(&world, &drawn, &id);
+        match world.submit(request, leaves).await {
+            Answer::Outcome(Outcome::NotRun { .. }) => {
+                refusals += 1;
+                break None;
+            }
+            Answer::Outcome(Outcome::MayHaveRun(_)) | Answer::Broken => {
+                if submissions == SUBMISSIONS {
+                    break None;
+                }
+                sleep(RESEND).await;
+            }
+            Answer::Outcome(outcome) => break Some(outcome),
+            Answer::Left => return,
+            Answer::Missing(waited) => {
+                let job = id.to_string();
+                world.broken.borrow_mut().push(Broken::NoAnswer { job, waited });
+                break None;
+            }
+        }
+    };
+    if refusals == submissions {
+        world.refused.borrow_mut().insert(id);
+    }
+    let age = began.elapsed();
+    let served = &mut world.served.borrow_mut()[drawn.class];
+    served.asked += 1;
+    served.owed += drawn.worth;
+    let right = match outcome {
+        Some(Outcome::Completed) => true,
+        Some(Outcome::Failed) => drawn.poison,
+        _ => false,
+    };
+    if right && age <= drawn.objective {
+        served.in_time += 1;
+        served.earned += drawn.worth;
+    } else if right && age <= drawn.objective * LATE {
+        served.late += 1;
+        served.earned += drawn.worth * LATE_WORTH;
+    } else if refusals > 0 {
+        served.refused += 1;
+    } else {
+        served.failed += 1;
+    }
+}
+
+fn request(world: &World, drawn: &Drawn, id: &Id) -> Request {
+    let class = &world.plan.load.classes[drawn.class];
+    let zero = heathertrack::clock::Time::ZERO;
+    let objective = drawn.step.estimate.mul_f64(STRETCH) + EXTRA;
+    Request {
+        id: id.clone(),
+        spec: Arc::from(""),
+        class: Arc::from(class.name),
+        service: Arc::from("service"),
+        priority: class.priority,
+        max_attempts: 3,
+        steps: vec![drawn.step.clone()],
+        received: zero,
+        objective,
+        deadline: zero + drawn.objective * LATE + RESEND,
+    }
+}
--- /dev/null
+++ b/crates/heathertrack_model/src/world/trouble.rs
@@ -0,0 +1,176 @@
+//! Faults as they happen, and their mending.
+
+use super::{GRACE, World};
+use crate::fault::{Fault, Trouble};
+use crate::network::Node;
+use crate::upstream::Mood;
+use heathertrack::pool::upstream::Record;
+use heathertrack_platform::Fact;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Lets a fault happen, and mends it.
+pub(super) async fn strike(world: Rc<World>, fault: Fault) {
+    sleep(fault.at).await;
+    match fault.trouble {
+        Trouble::Kill { host, down } => world.kill(&[host], false, down).await,
+        Trouble::Power { host, down } => world.kill(&[host], true, down).await,
+        Trouble::KillAll { down } => {
+            let all: Vec<usize> = (0..world.plan.site.hosts()).collect();
+            world.kill(&all, false, down).await;
+        }
+        Trouble::Freeze { host, span } => world.freeze(host, span).await,
+        Trouble::Stop { host } => world.stop(host).await,
+        Trouble::CutHosts { from, to, span } => {
+            world.cut(&[(Node::Host(from), Node::Host(to))], span).await;
+        }
+        Trouble::CutUpstreams { host, share, back, span } => {
+            let count = (world.plan.site.upstreams() as f64 * share).ceil() as usize;
+            let way = |upstream| {
+                let (host, upstream) = (Node::Host(host), Node::Upstream(upstream));
+                if back { (upstream, host) } else { (host, upstream) }
+            };
+            let ways: Vec<_> = (0..count).map(way).collect();
+            world.cut(&ways, span).await;
+        }
+        Trouble::CutCentre { centre, span } => world.cut_centre(centre, span).await,
+        Trouble::LateOrders { share, span } => {
+            during(&world.mishaps.late, share, 0.0, span).await;
+        }
+        Trouble::LostAnswers { share, span } => {
+            during(&world.mishaps.lost, share, 0.0, span).await;
+        }
+        Trouble::Crash { upstream, down } => {
+            let upstream = world.fleet.borrow()[upstream].clone();
+            upstream.borrow_mut().crash(Instant::now());
+            upstream.borrow_mut().down = true;
+            sleep(down).await;
+            upstream.borrow_mut().crash(Instant::now());
+            upstream.borrow_mut().down = false;
+            world.shelf.put(Fact::Upstream(upstream.borrow().record.clone()));
+        }
+        Trouble::Failing { upstream, span } => {
+            world.mood(upstream, Mood { fails: true, ..Mood::default() }, span).await;
+        }
+        Trouble::Hanging { upstream, span } => {
+            world.mood(upstream, Mood { hangs: true, ..Mood::default() }, span).await;
+        }
+        Trouble::Slow { upstream, factor, span } => {
+            world.mood(upstream, Mood { slower: factor - 1.0, ..Mood::default() }, span).await;
+        }
+        Trouble::Drain { upstream, after } => world.drain(upstream, after).await,
+        Trouble::StoreDown { span } => {
+            world.shelf.down.set(true);
+            sleep(span).await;
+            world.shelf.down.set(false);
+        }
+        Trouble::Burst { factor, span } => during(&world.burst, factor, 1.0, span).await,
+        Trouble::Leaving { share, span } => {
+            during(&world.leaving, share, world.plan.load.leaving, span).await;
+        }
+    }
+}
+
+async fn during(cell: &Cell<f64>, value: f64, usual: f64, span: Duration) {
+    cell.set(value);
+    sleep(span).await;
+    cell.set(usual);
+}
+
+impl World {
+    async fn kill(&self, hosts: &[usize], power: bool, down: Duration) {
+        for host in hosts {
+            self.disturb(*host);
+            if power {
+                self.network.darken(Node::Host(*host), true);
+            }
+            let process = self.machines.borrow()[*host].process.clone();
+            process.kill();
+        }
+        sleep(down).await;
+        for host in hosts {
+            self.network.darken(Node::Host(*host), false);
+            if self.machines.borrow()[*host].process.is_dead() {
+                self.boot(*host);
+            }
+        }
+    }
+
+    async fn freeze(&self, host: usize, span: Duration) {
+        let process = self.machines.borrow()[host].process.clone();
+        self.disturb(host);
+        process.freeze(true);
+        sleep(span).await;
+        process.freeze(false);
+        self.disturb(host);
+    }
+
+    async fn stop(&self, host: usize) {
+        let (process, entry) = {
+            let mut machines = self.machines.borrow_mut();
+            let machine = &mut machines[host];
+            machine.out = true;
+            (machine.process.clone(), machine.entry.borrow().clone())
+        };
+        let Some(entry) = entry else { return };
+        let stopped = process.run(async move { entry.stop().await });
+        // A host that hangs is killed at the end of its grace period.
+        let _ = timeout(GRACE, stopped).await;
+        process.kill();
+        sleep(Duration::from_millis(300)).await;
+        self.boot(host);
+    }
+
+    async fn cut(&self, ways: &[(Node, Node)], span: Duration) {
+        for (from, to) in ways {
+            self.network.cut(*from, *to, true);
+        }
+        for node in ways.iter().flat_map(|(from, to)| [from, to]) {
+            if let Node::Host(host) = node {
+                self.disturb(*host);
+            }
+        }
+        sleep(span).await;
+        for (from, to) in ways {
+            self.network.cut(*from, *to, false);
+        }
+    }
+
+    async fn cut_centre(&self, centre: usize, span: Duration) {
+        let hosts = (0..self.plan.site.hosts()).map(Node::Host);
+        let upstreams = (0..self.plan.site.upstreams()).map(Node::Upstream);
+        let nodes: Vec<Node> = hosts.chain(upstreams).chain([Node::Store]).collect();
+        let inside = |node: &Node| self.network.centre(*node) == Some(centre);
+        let mut ways = Vec::new();
+        for one in nodes.iter().filter(|node| inside(node)) {
+            for other in nodes.iter().filter(|node| !inside(node)) {
+                ways.push((*one, *other));
+                ways.push((*other, *one));
+            }
+        }
+        self.cut(&ways, span).await;
+    }
+
+    async fn mood(&self, upstream: usize, mood: Mood, span: Duration) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        upstream.borrow_mut().mood = mood;
+        sleep(span).await;
+        upstream.borrow_mut().mood = Mood::default();
+    }
+
+    async fn drain(&self, upstream: usize, after: Duration) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        let record = Record { draining: true, ..upstream.borrow().record.clone() };
+        self.shelf.put(Fact::Upstream(record.clone()));
+        sleep(after).await;
+        upstream.borrow_mut().crash(Instant::now());
+        upstream.borrow_mut().down = true;
+        self.shelf.remove_upstream(&record.name);
+        sleep(after).await;
+        upstream.borrow_mut().down = false;
+        let record = upstream.borrow().record.clone();
+        self.shelf.put(Fact::Upstream(record));
+    }
+}
