Pass over ends that are already acknowledged when a list shows them again

Cause: read in the code: with a second look under way, an end is listed twice; the second list made it an end of an unknown run, which held acknowledgements up for 1 s and let looks pause for 40 ms. Change: ends up to the acknowledged one are skipped; an unused argument and two long paths are gone.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -160,7 +160,7 @@
             if let Some(run) = self.runs.get_mut(run) {
                 run.job = None;
             }
-            self.stop(run, now);
+            self.stop(run);
         }
         if outcome == Outcome::Completed {
             self.learn(&job);
@@ -237,7 +237,7 @@
     }
 
     /// Orders that a run is stopped, unless it is already.
-    fn stop(&mut self, key: RunKey, _now: Time) {
+    fn stop(&mut self, key: RunKey) {
         let Some(run) = self.runs.get_mut(key) else { return };
         if run.state == State::Stopping {
             return;
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -2,7 +2,7 @@
 use super::orders::STOP_ATTEMPTS;
 use crate::clock::Time;
 use crate::pool::run::State;
-use crate::pool::upstream::Tenure;
+use crate::pool::upstream::{SLOW_CLOCK_MARGIN, Tenure};
 use crate::pool::{Decision, Effect, End, Ended, Listing, RunKey, UpstreamKey};
 use std::time::Duration;
 
@@ -44,7 +44,9 @@
     }
 
     fn take_ends(&mut self, key: UpstreamKey, ends: &[End], now: Time) {
-        for end in ends {
+        let acknowledged = self.upstreams.get(key).map_or(0, |upstream| upstream.acknowledged);
+        // A look that was sent before the last acknowledgement lists those ends once more.
+        for end in ends.iter().filter(|end| end.sequence > acknowledged) {
             let run =
                 end.task.as_ref().and_then(|task| self.tasks.get(&(task.clone(), end.number)));
             if let Some(run) = run.copied().filter(|run| self.runs_at(*run, key)) {
@@ -122,7 +124,7 @@
             return;
         }
         let since = *upstream.foreign.since.get_or_insert(now);
-        let margin = lease.mul_f64(super::super::upstream::SLOW_CLOCK_MARGIN) + TAKING_PAUSE;
+        let margin = lease.mul_f64(SLOW_CLOCK_MARGIN) + TAKING_PAUSE;
         if upstream.foreign.runs.is_empty() || now.since(since) > margin {
             upstream.tenure = Tenure::Owned;
             upstream.foreign.since = None;
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -58,7 +58,7 @@
             StartAnswer::Unknown => {
                 self.note_mute(upstream_key, now);
                 if self.options.stops_unanswered {
-                    self.stop(key, now);
+                    self.stop(key);
                 } else {
                     self.never_ran(key, 0);
                 }
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -1,6 +1,7 @@
 use super::Pool;
 use crate::clock::Time;
 use crate::pool::run::{Run, State};
+use crate::pool::upstream::Tenure;
 use crate::pool::{Ended, JobKey, RunKey, UpstreamKey};
 use std::time::Duration;
 
@@ -73,7 +74,7 @@
             {
                 self.note_upstream(upstream_key, "lets runs stand still", now);
             }
-            self.stop(key, now);
+            self.stop(key);
         }
     }
 
@@ -91,7 +92,7 @@
             upstream.clock = None;
             upstream.look_due = now;
             upstream.tenure = match upstream.tenure {
-                super::super::upstream::Tenure::Owned => super::super::upstream::Tenure::Taking,
+                Tenure::Owned => Tenure::Taking,
                 other => other,
             };
             upstream.foreign.since = None;
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -263,6 +263,27 @@
     assert_eq!(starts(&alone).len(), 1);
 }
 
+#[test]
+fn an_end_that_is_listed_again_holds_no_look_up() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(job("j", 2, 6_800), at(100));
+    let started = starts(&pool.take_effects());
+    let (upstream, _, ended, number) = started[0].clone();
+    for (_, run, _, _) in &started {
+        pool.started(*run, StartAnswer::Running, Some(5_001), at(101));
+    }
+    pool.take_effects();
+    let row = || vec![Row { task: started[1].2.clone(), number: 1, percent: 10 }];
+    let ends = || vec![end(1, &ended, number, Ended::Done)];
+    pool.listed(upstream, &listing(row(), ends()), at(102), at(160));
+    pool.take_effects();
+
+    // A look that was sent before the first answer came lists the end too.
+    pool.listed(upstream, &listing(row(), ends()), at(102), at(161));
+
+    assert_eq!(looks(&pool.take_effects()), vec![upstream], "the next look waits for nothing");
+}
+
 #[test]
 fn a_job_sent_again_waits_for_the_end_of_its_runs() {
     let mut pool = pool(&["u1", "u2"]);
