Answer handed jobs in one place, and drop fields that nothing reads

Found in a last read of the change: the loop that answers callers of handed jobs stood twice, the pause of the accept loops four times, and a peer's revision and version and Pool::speeds were never read. Behaviour is as before.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -225,11 +225,6 @@
         least.unwrap_or(Duration::from_secs(60))
     }
 
-    /// Learned speeds by upstream, for other hosts.
-    pub fn speeds(&self) -> impl Iterator<Item = (&name::Upstream, f64)> {
-        self.upstreams.values().map(|upstream| (&upstream.record.name, upstream.speed.factor()))
-    }
-
     /// Jobs of which nothing was started, by service.
     pub fn waiting_jobs(&self, service: &str) -> usize {
         let waits = |job: &&Job| !job.begun && &*job.request.service == service;
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -2,7 +2,7 @@
 
 use super::journal::ms;
 use super::metrics;
-use super::net::Net;
+use super::net::{ACCEPT_PAUSE, Net};
 use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
@@ -26,8 +26,6 @@
 
 /// How long a caller is taken to wait whose request and route say nothing.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// Pause after a connection could not be accepted, as descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Factor by which a job's tasks may take longer than declared: estimates are off by 40%, and some
 /// upstreams are slow.
 const LONGER: u32 = 3;
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -6,7 +6,7 @@
 
 use super::boot_clock::Clock;
 use super::frame::{Envelope, Frame, Hello};
-use super::net::Net;
+use super::net::{ACCEPT_PAUSE, Net};
 use super::node::{Entry, Environment};
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
@@ -22,8 +22,6 @@
 
 /// Time without a message after which a peer is taken for gone (docs/design/platform.md).
 const SILENCE: Duration = Duration::from_millis(350);
-/// Pause after a connection could not be accepted, as descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Messages that may wait for a slow peer.
 const QUEUE: usize = 1_024;
 /// Largest message: a copy of the store's items.
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -53,8 +53,6 @@
             dispatches: false,
             load: Load::default(),
             handed_cores: 0.0,
-            revision: 0,
-            version: 0,
             jobs: BTreeMap::new(),
         };
         let mut state = self.state.borrow_mut();
@@ -112,8 +110,6 @@
         peer.dispatches = beat.dispatches;
         peer.load = beat.load();
         peer.handed_cores = 0.0;
-        peer.revision = beat.revision;
-        peer.version = beat.version;
         let near = peer.record.data_centre == self.record.data_centre;
         let frames = peer.frames.clone();
         let newer = beat.version > own_version || (behind && beat.revision > own);
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! What an entry host counts, and where it is read. docs/OPERATIONS.md lists every name.
 
 use super::boot_clock::Clock;
+use super::net::ACCEPT_PAUSE;
 use super::node::{Entry, Environment};
 use crate::metrics as recorder;
 use heathertrack::pool::{Ended, StartAnswer};
@@ -18,9 +19,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// Pause after a connection could not be accepted, as descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// A job was answered.
 pub fn answered(class: &str, data_centre: &str, outcome: &'static str, age: Duration) {
     let labels = [("class", class.to_owned()), ("data_centre", data_centre.to_owned())];
--- a/crates/heathertrackd/src/entry/net.rs
+++ b/crates/heathertrackd/src/entry/net.rs
@@ -1,8 +1,12 @@
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Pause after a connection could not be accepted, as descriptors may have run out.
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// How a host's connections are made.
 pub trait Net: Clone + 'static {
     /// A connection.
--- a/crates/heathertrackd/src/entry/ready.rs
+++ b/crates/heathertrackd/src/entry/ready.rs
@@ -1,6 +1,6 @@
 //! Tells the balancer whether this host takes callers.
 
-use super::net::Net;
+use super::net::{ACCEPT_PAUSE, Net};
 use super::node::{Entry, Environment};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -8,13 +8,9 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// Pause after a connection could not be accepted, as descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Answers the balancer's question.
 pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
     let entry = entry.clone();
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -71,8 +71,6 @@
     pub load: Load,
     /// Cores of the jobs that were handed over since that load was told.
     pub handed_cores: f64,
-    pub revision: u64,
-    pub version: u64,
     /// Jobs of the own pool that came from it, by its number.
     pub jobs: BTreeMap<u64, JobKey>,
 }
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -72,28 +72,29 @@
 
     /// Answers all callers that still wait, as the process ends.
     fn give_up_all(self: &Rc<Self>) {
-        let calls = std::mem::take(&mut self.state.borrow_mut().calls);
-        for (_, handed) in calls {
-            // The caller may be gone; then nobody is to be told.
-            let _ = handed.reply.send(Outcome::MayHaveRun("this host stops"));
-        }
+        self.answer_handed("this host stops");
         self.with_pool(|pool, now| pool.give_up_all("this host stops", now));
     }
 
     /// Drops everything that others have dropped while this process was suspended.
     pub(super) fn resume(self: &Rc<Self>, gap: Duration, now: Time) {
         self.journal.resumed(gap);
-        let calls: Vec<_> = {
+        {
             let mut state = self.state.borrow_mut();
             state.pool.resumed(now);
             state.peers.clear();
             state.owners_stale = true;
-            std::mem::take(&mut state.calls).into_iter().collect()
-        };
-        for (_, handed) in calls {
-            // The caller may be gone; then nobody is to be told.
-            let _ = handed.reply.send(Outcome::MayHaveRun("this host was suspended"));
         }
+        self.answer_handed("this host was suspended");
         self.carry_out();
     }
+
+    /// Answers the callers whose jobs other dispatchers have.
+    fn answer_handed(&self, why: &'static str) {
+        let calls = std::mem::take(&mut self.state.borrow_mut().calls);
+        for handed in calls.into_values() {
+            // The caller may be gone; then nobody is to be told.
+            let _ = handed.reply.send(Outcome::MayHaveRun(why));
+        }
+    }
 }
