Keep links by need, and tell hosts less often that don't depend on the sender

Cause: every host had a link to every other and told each ten times a second that it lives, so that messages grow with the square of the hosts; of 42 hosts, 38 have no upstreams and nothing that depends on them. Ruled out: links only through the store's records (a host that is gone would be noticed after seconds), and one long period for all (jobs of a lost host have to be stopped within 400 ms). Change: beyond 12 hosts, hosts of different data centres keep a link only if one dispatches, has jobs of the other, or is named by its settings; a sign of life says when the next comes, 100 ms later where the receiver depends on the sender and up to a second later elsewhere, 100 a second in all. A deserted data centre is taken over by hosts that dispatch, as all others have links to them. Failed renewals of a host's record are logged.

--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -2,7 +2,7 @@
 //! answered. More seeds: `HEATHERTRACK_SEEDS=500 cargo test --release -p heathertrack_model`.
 
 use heathertrack::pool::Options;
-use heathertrack_model::{Broken, Fault, Plan, Trouble, run};
+use heathertrack_model::{Broken, Fault, Plan, Site, Trouble, run};
 use std::time::Duration;
 
 /// Seeds that CI plays.
@@ -28,6 +28,31 @@
     }
 }
 
+/// Seeds that CI plays of the larger fleet, whose hosts don't all have links to each other.
+const FLEET_SEEDS: u64 = 4;
+
+/// Five hosts in each of three data centres.
+fn fleet(seed: u64) -> Plan {
+    let plan = Plan::small(seed);
+    Plan { site: Site { hosts_each: 5, ..plan.site.clone() }, ..plan }
+}
+
+#[test]
+fn promises_hold_in_a_fleet_without_links_between_all_hosts() {
+    for seed in 0..seeds().div_ceil(SEEDS) * FLEET_SEEDS {
+        let plan = fleet(seed).troubled(1 + seed as usize % 6);
+
+        let verdict = run(&plan);
+
+        assert!(
+            verdict.broken.is_empty(),
+            "seed {seed}: {:?}\n{:#?}",
+            verdict.broken.iter().take(4).collect::<Vec<_>>(),
+            plan.faults
+        );
+    }
+}
+
 #[test]
 fn a_seed_repeats() {
     let plan = Plan::small(3).troubled(4);
--- /dev/null
+++ b/crates/heathertrack_model/tests/links.rs
@@ -0,0 +1,47 @@
+//! Links between the hosts of a large fleet.
+
+use heathertrack_model::{Load, Plan, Site, Verdict, run};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const CENTRES: usize = 3;
+const HOSTS_EACH: usize = 14;
+
+/// The users' grown fleet of entry hosts, for a few calm seconds.
+fn fleet() -> Plan {
+    let plan = Plan::virumaa(1, 0.3);
+    let site = Site { centres: CENTRES, hosts_each: HOSTS_EACH, ..plan.site.clone() };
+    // Jobs that can't be done would count as failed.
+    let load = Load { poison: 0.0, ..plan.load.clone() };
+    Plan { site, load, length: Duration::from_secs(3), ..plan }
+}
+
+/// Pairs of host and peer that have had a link.
+fn links(verdict: &Verdict) -> BTreeSet<(String, String)> {
+    let lines = verdict.log.iter().filter_map(|line| serde_json::from_str(line).ok());
+    let found = lines.filter(|line: &serde_json::Value| line["event"] == "peer_found");
+    found.map(|line| (line["host"].to_string(), line["peer"].to_string())).collect()
+}
+
+#[test]
+fn hosts_of_different_data_centres_have_links_only_if_one_dispatches() {
+    let verdict = run(&fleet());
+
+    let hosts = CENTRES * HOSTS_EACH;
+    let near = hosts * (HOSTS_EACH - 1);
+    // One dispatcher carries the few upstreams of a data centre; both ends count a link.
+    let dispatchers = 2 * CENTRES * (hosts - HOSTS_EACH);
+    let links = links(&verdict).len();
+    assert!(links > near, "{links}");
+    assert!(links <= near + dispatchers, "{links}, full mesh {}", hosts * (hosts - 1));
+}
+
+#[test]
+fn a_calm_fleet_serves_everyone_in_time() {
+    let verdict = run(&fleet());
+
+    assert!(verdict.broken.is_empty(), "{:?}", verdict.broken);
+    for (class, served) in &verdict.served {
+        assert_eq!(served.refused + served.failed, 0, "{class}");
+    }
+}
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -53,7 +53,7 @@
                 }
                 entry.take_changes(changes, !complete);
                 complete = true;
-                let hosts = entry.state.borrow().peers.len() as u32 + 1;
+                let hosts = entry.state.borrow().hosts.len() as u32;
                 sleep((PAUSE_EACH * hosts).clamp(PAUSE, LONGEST_PAUSE)).await;
             }
             Err(ReadFault::Forgotten) => complete = false,
@@ -82,15 +82,22 @@
                     entry.lease.set(lease);
                     RENEWAL
                 }
-                Err(_) => RETRY,
+                Err(fault) => {
+                    entry.journal.record_failed("announced", &fault.to_string());
+                    RETRY
+                }
             },
             Some(key) => match store.renew(key).await {
                 Ok(true) => RENEWAL,
                 Ok(false) => {
+                    entry.journal.record_failed("renewed", "its lease has ended");
                     lease = None;
                     Duration::ZERO
                 }
-                Err(_) => RETRY,
+                Err(fault) => {
+                    entry.journal.record_failed("renewed", &fault.to_string());
+                    RETRY
+                }
             },
         };
         sleep(pause).await;
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -71,6 +71,8 @@
     pub waiting: f32,
     pub waiting_jobs: u32,
     pub places: u32,
+    /// Time until the next sign of life on this link, at most, in microseconds.
+    pub period_us: u64,
 }
 
 /// A job for a dispatcher. Times are relative, as clocks differ.
@@ -170,6 +172,22 @@
         self.places = load.places;
         self
     }
+
+    /// Whether another differs in what peers act upon at once: all but the revision, which rises
+    /// with every entry that anyone renews.
+    pub fn has_news(&self, other: &Beat) -> bool {
+        Beat { revision: other.revision, ..self.clone() } != *other
+    }
+
+    /// The same for a link on which the next follows within a period.
+    pub fn with_period(&self, period: Duration) -> Self {
+        Beat { period_us: micros(period), ..self.clone() }
+    }
+
+    /// Time until the next sign of life, at most.
+    pub fn period(&self) -> Duration {
+        Duration::from_micros(self.period_us)
+    }
 }
 
 impl Submit {
--- a/crates/heathertrackd/src/entry/journal.rs
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -193,6 +193,11 @@
         self.write(event, json!({ "why": why, "revision": revision }));
     }
 
+    /// This host's record in the store could not be announced or renewed; it is tried again.
+    pub fn record_failed(&self, step: &'static str, why: &str) {
+        self.write("host_record_failed", json!({ "step": step, "why": why }));
+    }
+
     /// A configuration came into force.
     pub fn configured(&self, version: u64, before: u64, revision: u64) {
         let fields = json!({ "version": version, "before": before, "revision": revision });
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -10,6 +10,7 @@
 use super::node::{Entry, Environment};
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
+use heathertrack::membership::links::{self, BRISK};
 use heathertrack::name::Host;
 use heathertrack_platform::{Changes, HostRecord, Item};
 use std::cell::Cell;
@@ -20,8 +21,8 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Time without a message after which a peer is taken for gone (docs/design/platform.md).
-const SILENCE: Duration = Duration::from_millis(350);
+/// Time that a peer is given to read a message, and to say who it is.
+const PATIENCE: Duration = Duration::from_millis(350);
 /// Messages that may wait for a slow peer.
 const QUEUE: usize = 1_024;
 /// Largest message: a copy of the store's items.
@@ -64,8 +65,7 @@
         return;
     }
     let (frames, queue) = mpsc::channel(QUEUE);
-    let preferred = dialled == (entry.record.name < host);
-    let Some(number) = entry.add_peer(record, incarnation, preferred, frames) else { return };
+    let Some(number) = entry.add_peer(record, incarnation, dialled, frames) else { return };
     let why = link.serve(&host, queue).await;
     entry.remove_peer(&host, number, why);
 }
@@ -74,14 +74,14 @@
     async fn greet(&mut self) -> Option<Hello> {
         let hello = Frame::Hello(Hello::new(&self.entry.record, self.entry.incarnation));
         self.send(hello).await.ok()?;
-        let (frame, _) = timeout(SILENCE, self.receive()).await.ok()??;
+        let (frame, _) = timeout(PATIENCE, self.receive()).await.ok()??;
         let Frame::Hello(hello) = frame else { return None };
         Some(hello)
     }
 
     async fn send(&mut self, frame: Frame) -> Result<(), &'static str> {
         let bytes = self.encode(frame)?;
-        let sent = timeout(SILENCE, self.framed.send(bytes)).await;
+        let sent = timeout(PATIENCE, self.framed.send(bytes)).await;
         sent.map_err(|_| "it doesn't read")?.map_err(|_| "the connection broke")
     }
 
@@ -106,7 +106,8 @@
     /// Carries messages both ways. Gives why the link ended.
     async fn serve(&mut self, host: &Host, mut queue: mpsc::Receiver<Frame>) -> &'static str {
         let mut heard = Instant::now();
-        let first = Frame::Beat(self.entry.beat());
+        let mut silence = links::silence(BRISK);
+        let first = Frame::Beat(self.entry.beat().with_period(BRISK));
         if let Err(why) = self.send(first).await {
             return why;
         }
@@ -117,6 +118,9 @@
                 received = self.receive() => {
                     let Some((frame, age)) = received else { return "the connection ended" };
                     heard = Instant::now();
+                    if let Frame::Beat(beat) = &frame {
+                        silence = links::silence(beat.period());
+                    }
                     self.take(host, frame, age);
                 }
                 frame = queue.recv() => {
@@ -125,7 +129,7 @@
                         return why;
                     }
                 }
-                () = sleep_until(heard + SILENCE) => return "it was silent",
+                () = sleep_until(heard + silence) => return "it was silent",
             }
         }
     }
@@ -138,7 +142,7 @@
         let mut frame = first;
         while let Ok(next) = queue.try_recv() {
             let bytes = self.encode(frame)?;
-            let fed = timeout(SILENCE, self.framed.feed(bytes)).await;
+            let fed = timeout(PATIENCE, self.framed.feed(bytes)).await;
             fed.map_err(|_| "it doesn't read")?.map_err(|_| "the connection broke")?;
             frame = next;
         }
--- a/crates/heathertrackd/src/entry/link/dial.rs
+++ b/crates/heathertrackd/src/entry/link/dial.rs
@@ -1,8 +1,11 @@
-//! Connects to hosts without a link.
+//! Connects to hosts that a link is wanted to, and ends links that neither end has a use for.
 
 use super::run;
+use crate::entry::boot_clock::Clock;
 use crate::entry::net::Net;
 use crate::entry::node::{Entry, Environment};
+use crate::entry::state::Peer;
+use heathertrack::membership::links::Bond;
 use heathertrack::name::Host;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,6 +25,10 @@
 /// Head start of the host with the smaller name, so that two hosts don't dial each other at once.
 const DIAL_TURN: Duration = Duration::from_millis(500);
 
+/// Time for which a link goes unused before it ends: dispatchers change back within seconds when
+/// processes start again.
+const UNUSED: Duration = Duration::from_secs(10);
+
 /// When an address is tried next, and how long the pause after that is.
 type Attempts = BTreeMap<SocketAddr, (Instant, Duration)>;
 
@@ -50,6 +57,7 @@
         let linked: Vec<SocketAddr> =
             entry.state.borrow().peers.values().map(|peer| peer.record.peers).collect();
         attempts.retain(|address, _| !linked.contains(address));
+        entry.end_unused_links();
         sleep(DIAL_PAUSE).await;
     }
 }
@@ -63,10 +71,12 @@
         newcomer: bool,
     ) -> Vec<SocketAddr> {
         let state = self.state.borrow();
+        let seeds = self.seeds.borrow();
         let mut addresses = Vec::new();
         unlinked.retain(|host, _| state.hosts.contains_key(host));
         for (host, record) in &state.hosts {
-            if *host == self.record.name || state.peers.contains_key(host) {
+            let wanted = state.bond(&self.record, record, &seeds).is_wanted(state.hosts.len());
+            if *host == self.record.name || state.peers.contains_key(host) || !wanted {
                 unlinked.remove(host);
                 continue;
             }
@@ -82,8 +92,34 @@
                     || state.hosts.values().any(|host| host.peers == **seed)
                     || state.peers.values().any(|peer| peer.record.peers == **seed)
             };
-            addresses.extend(self.seeds.borrow().iter().filter(|seed| !known(seed)));
+            addresses.extend(seeds.iter().filter(|seed| !known(seed)));
         }
         addresses
     }
+
+    /// Ends links that neither end has had a use for in a while.
+    fn end_unused_links(self: &Rc<Self>) {
+        let now = self.environment.clock().now();
+        let unused: Vec<(Host, u64)> = {
+            let mut state = self.state.borrow_mut();
+            let hosts = state.hosts.len();
+            let seeds = self.seeds.borrow();
+            let bond = |peer: &Peer| state.bond(&self.record, &peer.record, &seeds);
+            let bonds: Vec<Bond> = state.peers.values().map(bond).collect();
+            // The host that dialled ends a link, as only it knows whether its settings name the other.
+            let peers = state.peers.iter_mut().zip(bonds).filter(|((_, peer), _)| peer.dialled);
+            let unused = peers.filter_map(|((host, peer), bond)| {
+                if bond.is_wanted(hosts) {
+                    peer.unused_since = None;
+                    return None;
+                }
+                let since = *peer.unused_since.get_or_insert(now);
+                (now.since(since) >= UNUSED).then(|| (host.clone(), peer.link))
+            });
+            unused.collect()
+        };
+        for (host, link) in unused {
+            self.remove_peer(&host, link, "neither end dispatches");
+        }
+    }
 }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -1,8 +1,10 @@
 //! What this host does with peers and their messages.
 
+use crate::entry::boot_clock::Clock;
 use crate::entry::frame::{Beat, Copied, Frame, Submit};
 use crate::entry::node::{Entry, Environment};
 use crate::entry::state::{Peer, Reply};
+use heathertrack::membership::links::BRISK;
 use heathertrack::name::Host;
 use heathertrack::pool::Load;
 use heathertrack::pool::job::Outcome;
@@ -25,10 +27,11 @@
         self: &Rc<Self>,
         record: HostRecord,
         incarnation: u64,
-        preferred: bool,
+        dialled: bool,
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
         let host = record.name.clone();
+        let preferred = dialled == (self.record.name < host);
         let is_better =
             |peer: &Peer| peer.incarnation == incarnation && peer.preferred && !preferred;
         if self.state.borrow().peers.get(&host).is_some_and(is_better) {
@@ -49,11 +52,16 @@
             frames,
             incarnation,
             preferred,
+            dialled,
             leaving: false,
             dispatches: false,
             load: Load::default(),
             handed_cores: 0.0,
             jobs: BTreeMap::new(),
+            told: self.environment.clock().now(),
+            promised: BRISK,
+            handed: None,
+            unused_since: None,
         };
         let mut state = self.state.borrow_mut();
         state.peers.insert(host.clone(), peer);
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -3,9 +3,11 @@
 use super::node::{Entry, Environment};
 use super::state::State;
 use heathertrack::clock::Time;
-use heathertrack::name::{DataCentre, Host, Upstream};
+use heathertrack::name::{DataCentre, Upstream};
 use heathertrack::pool::{Candidate, dispatchers, owner};
+use heathertrack_platform::HostRecord;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,7 +28,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.drop_missing(now);
-            if !state.owners_stale || state.is_settling(&self.record.name, now) {
+            if !state.owners_stale || state.is_settling(&self.record, &self.seeds.borrow(), now) {
                 return;
             }
             state.owners_stale = false;
@@ -43,7 +45,7 @@
                     if now.since(since) < DESERTED {
                         state.owners_stale = true;
                     } else {
-                        hosts.clone_from(&candidates);
+                        hosts = successors(&candidates);
                     }
                 } else {
                     state.deserted.remove(&centre);
@@ -69,6 +71,7 @@
             }
             state.dispatchers = all;
             state.dispatches = dispatches;
+            state.owned = owned;
         }
         self.carry_out();
     }
@@ -93,11 +96,23 @@
     }
 }
 
+/// Those that may take over a data centre without a live host: hosts that dispatch, as all others
+/// have links to them and so agree on who is there; all, if none does.
+fn successors(candidates: &[Candidate]) -> Vec<Candidate> {
+    let dispatch: Vec<Candidate> =
+        candidates.iter().filter(|candidate| candidate.incumbent).cloned().collect();
+    if dispatch.is_empty() { candidates.to_vec() } else { dispatch }
+}
+
 impl State {
-    /// Whether this host has just started and doesn't have links to all hosts that it knows of.
-    fn is_settling(&self, own: &Host, now: Time) -> bool {
-        let linked = |host: &Host| host == own || self.peers.contains_key(host);
-        now < Time::ZERO + SETTLING && !self.hosts.keys().all(linked)
+    /// Whether this host has just started and lacks links that it wants.
+    fn is_settling(&self, own: &HostRecord, seeds: &[SocketAddr], now: Time) -> bool {
+        let linked = |host: &HostRecord| {
+            host.name == own.name
+                || self.peers.contains_key(&host.name)
+                || !self.bond(own, host, seeds).is_wanted(self.hosts.len())
+        };
+        now < Time::ZERO + SETTLING && !self.hosts.values().all(linked)
     }
 
     fn upstreams_by_centre(&self) -> BTreeMap<DataCentre, Vec<Upstream>> {
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -2,13 +2,16 @@
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
 use heathertrack::membership::CatchUp;
+use heathertrack::membership::links::Bond;
 use heathertrack::name::{Host, Upstream};
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{JobKey, Load, Options, Pool, upstream};
 use heathertrack::routes::Table;
 use heathertrack_platform::HostRecord;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Everything that an entry host believes and has in progress.
@@ -49,6 +52,8 @@
     pub dispatchers: Vec<Host>,
     /// Whether this host owns upstreams of its own data centre.
     pub dispatches: bool,
+    /// How many upstreams this host owns, of whichever data centre.
+    pub owned: usize,
     /// The owners of upstreams may have changed.
     pub owners_stale: bool,
     /// When a data centre was last seen without a live host.
@@ -66,6 +71,8 @@
     pub incarnation: u64,
     /// Whether the link is the one that the host with the smaller name dialled.
     pub preferred: bool,
+    /// Whether this host dialled.
+    pub dialled: bool,
     pub leaving: bool,
     pub dispatches: bool,
     pub load: Load,
@@ -73,6 +80,21 @@
     pub handed_cores: f64,
     /// Jobs of the own pool that came from it, by its number.
     pub jobs: BTreeMap<u64, JobKey>,
+    /// When it was last told that this host lives.
+    pub told: Time,
+    /// Time after that within which it was promised the next sign of life.
+    pub promised: Duration,
+    /// When a job was last handed to it.
+    pub handed: Option<Time>,
+    /// Since when neither host has any use for the link.
+    pub unused_since: Option<Time>,
+}
+
+impl Peer {
+    /// Whether it owns upstreams.
+    pub fn is_dispatcher(&self) -> bool {
+        self.dispatches || self.load.cores > 0.0
+    }
 }
 
 /// Where the outcome of a job goes.
@@ -114,11 +136,33 @@
             store_failed: None,
             dispatchers: Vec::new(),
             dispatches: false,
+            owned: 0,
             owners_stale: true,
             deserted: BTreeMap::new(),
         }
     }
 
+    /// What this host has to do with another.
+    pub fn bond(&self, own: &HostRecord, other: &HostRecord, seeds: &[SocketAddr]) -> Bond {
+        let peer = self.peers.get(&other.name);
+        Bond {
+            near: own.data_centre == other.data_centre,
+            dispatches: self.is_dispatcher() || peer.is_some_and(Peer::is_dispatcher),
+            jobs: peer.is_some_and(|peer| !peer.jobs.is_empty()) || self.has_call(&other.name),
+            seed: seeds.contains(&other.peers),
+        }
+    }
+
+    /// Whether a job is in the hands of a peer.
+    pub fn has_call(&self, host: &Host) -> bool {
+        self.calls.values().any(|handed| handed.host == *host)
+    }
+
+    /// Whether this host owns upstreams.
+    pub fn is_dispatcher(&self) -> bool {
+        self.owned > 0
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version)
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -97,6 +97,7 @@
             state.replies.insert(key, Reply::Here(reply));
             Place::Here(key)
         } else {
+            self.promise_beats(host);
             let mut state = self.state.borrow_mut();
             state.next_call += 1;
             let call = state.next_call;
