Send tasks with the platform's client, and drop the second set of connections

Cause: heathertrackd kept idle connections of its own beside heathertrack_platform::Client. Change: one client, which takes a bound of answers and of idle connections; attempts to connect end after a second for all. A task's bound stays its deadline.

--- a/crates/heathertrack_platform/src/http.rs
+++ b/crates/heathertrack_platform/src/http.rs
@@ -15,6 +15,8 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Connections kept open to one address.
 const IDLE_CONNECTIONS: usize = 4;
+/// Time after which a connection attempt is given up, if the call has longer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Port of addresses that name none.
 const HTTP_PORT: u16 = 80;
 
@@ -28,12 +30,36 @@
 pub struct Client {
     idle: Arc<Mutex<HashMap<String, Vec<Sender>>>>,
     timeout: Duration,
+    max_answer_bytes: usize,
+    idle_connections: usize,
 }
 
 impl Client {
     /// A client whose calls take at most `timeout`, where they name none.
     pub fn open(timeout: Duration) -> Self {
-        Client { idle: Arc::default(), timeout }
+        Client {
+            idle: Arc::default(),
+            timeout,
+            max_answer_bytes: MAX_ANSWER_BYTES,
+            idle_connections: IDLE_CONNECTIONS,
+        }
+    }
+
+    /// Takes answers up to a size in bytes.
+    pub fn with_answers_up_to(mut self, bytes: usize) -> Self {
+        self.max_answer_bytes = bytes;
+        self
+    }
+
+    /// Keeps up to some idle connections to each address.
+    pub fn with_idle_connections(mut self, connections: usize) -> Self {
+        self.idle_connections = connections;
+        self
+    }
+
+    /// Closes idle connections to all addresses but some.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        self.lock().retain(|address, _| keep(address));
     }
 
     /// Calls a URI; gives the status and the whole body.
@@ -84,6 +110,15 @@
         }
     }
 
+    /// Sends a request and waits for its whole answer; it ends when the caller drops it.
+    pub async fn send_patiently(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, Fault> {
+        let address = complete(&mut request)?;
+        self.exchange(&address, request, &mut false).await
+    }
+
     async fn exchange(
         &self,
         address: &str,
@@ -119,7 +154,7 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, Fault> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = Limited::new(body, self.max_answer_bytes).collect().await;
         let body = body.map_err(|error| Fault::AnswerLost(error.to_string()))?;
         self.keep(address, sender);
         Ok(Response::from_parts(head, body.to_bytes()))
@@ -139,7 +174,7 @@
     fn keep(&self, address: &str, sender: Sender) {
         let mut idle = self.lock();
         let senders = idle.entry(address.to_owned()).or_default();
-        if senders.len() < IDLE_CONNECTIONS && !sender.is_closed() {
+        if senders.len() < self.idle_connections && !sender.is_closed() {
             senders.push(sender);
         }
     }
@@ -168,7 +203,10 @@
 }
 
 async fn connect(address: &str) -> Result<Sender, Fault> {
-    let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected =
+        connecting.map_err(|_| Fault::Unreachable("no connection in time".to_owned()))?;
+    let stream = connected.map_err(|error| match error.kind() {
         ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
             Fault::Refused(error.to_string())
         }
--- a/crates/heathertrackd/src/dispatch.rs
+++ b/crates/heathertrackd/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! Runs the dispatcher's decisions: tasks wait, get an upstream, and are sent.
 
+use crate::call::{Call, MAX_ANSWER_BYTES, Reply};
 use crate::log::Event;
 use crate::metrics;
-use crate::pool::{Call, Pool, Reply};
 use crate::state::{State, lock};
 use bytes::Bytes;
 use heathertrack::clock::Time;
@@ -10,6 +10,7 @@
     Assignment, Dispatcher, Finish, Load, Options, RunKey, Spec, Task, WaitKey,
 };
 use heathertrack::name::{Class, Upstream};
+use heathertrack_platform::Client;
 use heathertrack_wire::frame::TaskEnd;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -17,6 +18,10 @@
 
 /// How often a task that was never sent is tried on another upstream.
 const MAX_TRIES: u32 = 5;
+/// Connections kept open to one upstream: more than an upstream of the users has slots.
+const IDLE_CONNECTIONS: usize = 64;
+/// Time that calls other than tasks take at most; a task's is bounded by its deadline.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What is sent to an upstream.
 #[derive(Debug)]
@@ -43,13 +48,16 @@
 #[derive(Debug)]
 pub struct Service {
     core: Mutex<Dispatcher<Pending>>,
-    pool: Pool,
+    client: Client,
 }
 
 impl Service {
     /// A dispatcher without upstreams.
     pub fn new(options: Options) -> Self {
-        Service { core: Mutex::new(Dispatcher::new(options)), pool: Pool::default() }
+        let client = Client::open(CALL_TIMEOUT)
+            .with_answers_up_to(MAX_ANSWER_BYTES)
+            .with_idle_connections(IDLE_CONNECTIONS);
+        Service { core: Mutex::new(Dispatcher::new(options)), client }
     }
 
     /// The decisions.
@@ -70,7 +78,7 @@
     /// Takes a new list of upstreams.
     pub fn update(&self, listed: &[Spec], owned: impl Fn(&Upstream) -> bool, now: Time) {
         self.core().update(listed, owned, now);
-        self.pool.retain(|address| listed.iter().any(|spec| spec.address == address));
+        self.client.retain(|address| listed.iter().any(|spec| spec.address == address));
     }
 
     /// Queues a task. `None` if the queue is full.
@@ -171,7 +179,7 @@
         Reply::Unsent("its deadline passed".to_owned())
     } else {
         metrics::message("task");
-        match tokio::time::timeout(left, service.pool.call(&address, &call)).await {
+        match tokio::time::timeout(left, call.send(&service.client, &address)).await {
             Ok(reply) => reply,
             Err(_) => {
                 service.finish(&state, &upstream, run, Finish::Abandoned);
--- a/crates/heathertrackd/src/lib.rs
+++ b/crates/heathertrackd/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod beats;
+mod call;
 mod callers;
 mod claims;
 mod clock;
@@ -32,7 +33,6 @@
 mod operators;
 mod peers;
 mod placement;
-mod pool;
 mod route;
 mod seats;
 mod server;
