Play load patterns from files, beside a central queue as bound, with a plot

Cause: the model's variants were compared only without faults and without a bound, and nothing measured whether a caller that comes back at its Retry-After is served.

--- /dev/null
+++ b/crates/heathertrack_model/examples/experiment/main.rs
@@ -0,0 +1,111 @@
+//! Compares variants of the dispatcher's decisions side by side:
+//! `cargo run --release -p heathertrack_model --example experiment -- --loads 0.9,1.3 --seeds 5`.
+//! `--pattern FILE` plays a load pattern instead of Virumaa's machines without faults, `--svg FILE`
+//! draws the worth of each variant over the loads.
+
+mod plot;
+mod table;
+mod variant;
+
+use argh::FromArgs;
+use heathertrack_model::{Pattern, PatternError, Plan, Served, run};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use table::Row;
+use thiserror::Error;
+use variant::Variant;
+
+/// Plays the same callers against variants of the dispatcher's decisions.
+#[derive(FromArgs)]
+struct Arguments {
+    /// loads against that of the users' sheet, or of the pattern; separated by commas
+    #[argh(option, default = "Loads(vec![1.0])", from_str_fn(loads))]
+    loads: Loads,
+    /// seeds that are played for each variant
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// a load pattern file
+    #[argh(option)]
+    pattern: Option<PathBuf>,
+    /// play only variants whose names contain this
+    #[argh(option, default = "String::new()")]
+    only: String,
+    /// where a plot of worth over load is written
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+struct Loads(Vec<f64>);
+
+fn loads(text: &str) -> Result<Loads, String> {
+    let parse = |part: &str| part.trim().parse::<f64>().map_err(|error| format!("{part}: {error}"));
+    text.split(',').map(parse).collect::<Result<_, _>>().map(Loads)
+}
+
+#[derive(Debug, Error)]
+enum Error {
+    #[error("{path}: {source}")]
+    Read { path: String, source: std::io::Error },
+    #[error(transparent)]
+    Pattern(#[from] PatternError),
+    #[error("the plot could not be written: {0}")]
+    Plot(String),
+}
+
+fn main() -> ExitCode {
+    match experiment(&argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn experiment(arguments: &Arguments) -> Result<(), Error> {
+    let pattern = arguments.pattern.as_ref().map(read).transpose()?;
+    let mut rows = Vec::new();
+    for load in &arguments.loads.0 {
+        println!("load {load}, {} seeds", arguments.seeds);
+        table::head();
+        for variant in variant::all().into_iter().filter(|v| v.name.contains(&arguments.only)) {
+            let plans = (0..arguments.seeds).map(|seed| plan(pattern.as_ref(), seed, *load));
+            let row = play(&variant, *load, plans);
+            table::print(&row);
+            rows.push(row);
+        }
+    }
+    if let Some(path) = &arguments.svg {
+        plot::draw(path, &rows).map_err(|error| Error::Plot(error.to_string()))?;
+    }
+    Ok(())
+}
+
+fn read(path: &PathBuf) -> Result<Pattern, Error> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|source| Error::Read { path: path.display().to_string(), source })?;
+    Ok(Pattern::parse(&text)?)
+}
+
+fn plan(pattern: Option<&Pattern>, seed: u64, load: f64) -> Plan {
+    let Some(pattern) = pattern else { return Plan::virumaa(seed, load) };
+    let mut plan = pattern.plan(seed);
+    plan.load.factor *= load;
+    plan
+}
+
+fn play(variant: &Variant, load: f64, plans: impl Iterator<Item = Plan>) -> Row {
+    let mut row =
+        Row { variant: variant.name, load, total: Served::default(), classes: Vec::new() };
+    for plan in plans {
+        let verdict = run(&(variant.change)(plan));
+        row.total.add(&verdict.total());
+        for (class, served) in verdict.served {
+            match row.classes.iter_mut().find(|(name, _)| *name == class) {
+                Some((_, sum)) => sum.add(&served),
+                None => row.classes.push((class, served)),
+            }
+        }
+    }
+    row
+}
--- /dev/null
+++ b/crates/heathertrack_model/examples/experiment/plot.rs
@@ -0,0 +1,42 @@
+use super::table::Row;
+use plotters::prelude::*;
+use std::error::Error;
+use std::path::Path;
+
+/// Width and height of the plot, in pixels.
+const SIZE: (u32, u32) = (900, 560);
+/// Width of a variant's colour in the legend, in pixels.
+const SAMPLE: i32 = 20;
+
+/// Draws the worth of each variant over the loads.
+pub fn draw(path: &Path, rows: &[Row]) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let least = rows.iter().map(|row| row.load).fold(f64::INFINITY, f64::min);
+    let most = rows.iter().map(|row| row.load).fold(0.0, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .margin(16)
+        .x_label_area_size(40)
+        .y_label_area_size(56)
+        .build_cartesian_2d(least..most.max(least + 0.1), 0.0..1.0)?;
+    let mut mesh = chart.configure_mesh();
+    mesh.x_desc("load against the users' sheet").y_desc("worth earned of worth owed").draw()?;
+    let mut names: Vec<&str> = Vec::new();
+    for row in rows {
+        if !names.contains(&row.variant) {
+            names.push(row.variant);
+        }
+    }
+    for (index, name) in names.iter().enumerate() {
+        let own = rows.iter().filter(|row| row.variant == *name);
+        let points: Vec<(f64, f64)> = own.map(|row| (row.load, row.total.worth())).collect();
+        let colour = Palette99::pick(index).to_rgba();
+        let line = chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+        line.label(*name).legend(move |(x, y)| {
+            PathElement::new(vec![(x, y), (x + SAMPLE, y)], colour.stroke_width(2))
+        });
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/heathertrack_model/examples/experiment/variant.rs
@@ -0,0 +1,47 @@
+use heathertrack::pool::{Options, order, placement};
+use heathertrack_model::Plan;
+
+/// A way to decide that is compared with the others.
+pub struct Variant {
+    pub name: &'static str,
+    /// Makes a plan one of this variant.
+    pub change: fn(Plan) -> Plan,
+}
+
+/// All variants, beginning with the code as it is.
+pub fn all() -> Vec<Variant> {
+    let variant = |name, change| Variant { name, change };
+    vec![
+        variant("as it is", |plan| plan),
+        variant("central queue", Plan::central),
+        variant("central, usual errors", |plan| {
+            let error = plan.load.error;
+            let mut plan = plan.central();
+            plan.load.error = error;
+            plan
+        }),
+        variant("exact estimates", |mut plan| {
+            plan.load.error = 0.0;
+            plan
+        }),
+        variant("order: wanted", |plan| order(plan, order::Policy::Wanted)),
+        variant("order: arrival", |plan| order(plan, order::Policy::Arrival)),
+        variant("placement: fastest", |plan| placement(plan, placement::Policy::Fastest)),
+        variant("placement: best fit", |plan| placement(plan, placement::Policy::BestFit)),
+        variant("wait share 0.12", |plan| wait(plan, 0.12)),
+        variant("wait share 0.5", |plan| wait(plan, 0.5)),
+        variant("wait share 3", |plan| wait(plan, 3.0)),
+    ]
+}
+
+fn order(plan: Plan, order: order::Policy) -> Plan {
+    Plan { options: Options { order, ..plan.options }, ..plan }
+}
+
+fn placement(plan: Plan, placement: placement::Policy) -> Plan {
+    Plan { options: Options { placement, ..plan.options }, ..plan }
+}
+
+fn wait(plan: Plan, wait_share: f64) -> Plan {
+    Plan { options: Options { wait_share, ..plan.options }, ..plan }
+}
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -72,6 +72,57 @@
     }
 }
 
+impl Trouble {
+    /// Whether it strikes hosts, or paths between hosts and something else.
+    pub fn is_of_hosts(&self) -> bool {
+        match self {
+            Trouble::Kill { .. }
+            | Trouble::Power { .. }
+            | Trouble::KillAll { .. }
+            | Trouble::Freeze { .. }
+            | Trouble::Stop { .. }
+            | Trouble::CutHosts { .. }
+            | Trouble::CutUpstreams { .. }
+            | Trouble::CutCentre { .. }
+            | Trouble::StoreDown { .. } => true,
+            Trouble::LateOrders { .. }
+            | Trouble::LostAnswers { .. }
+            | Trouble::Crash { .. }
+            | Trouble::Failing { .. }
+            | Trouble::Hanging { .. }
+            | Trouble::Slow { .. }
+            | Trouble::Drain { .. }
+            | Trouble::Burst { .. }
+            | Trouble::Leaving { .. } => false,
+        }
+    }
+
+    /// Whether the hosts, upstreams and data centres that it names are there.
+    pub fn fits(&self, site: &Site) -> bool {
+        let (hosts, upstreams) = (site.hosts(), site.upstreams());
+        match *self {
+            Trouble::Kill { host, .. }
+            | Trouble::Power { host, .. }
+            | Trouble::Freeze { host, .. }
+            | Trouble::Stop { host }
+            | Trouble::CutUpstreams { host, .. } => host < hosts,
+            Trouble::CutHosts { from, to, .. } => from < hosts && to < hosts && from != to,
+            Trouble::CutCentre { centre, .. } => centre < site.centres,
+            Trouble::Crash { upstream, .. }
+            | Trouble::Failing { upstream, .. }
+            | Trouble::Hanging { upstream, .. }
+            | Trouble::Slow { upstream, .. }
+            | Trouble::Drain { upstream, .. } => upstream < upstreams,
+            Trouble::KillAll { .. }
+            | Trouble::LateOrders { .. }
+            | Trouble::LostAnswers { .. }
+            | Trouble::StoreDown { .. }
+            | Trouble::Burst { .. }
+            | Trouble::Leaving { .. } => true,
+        }
+    }
+}
+
 fn draw(random: &mut StdRng, site: &Site) -> Trouble {
     let host = random.random_range(0..site.hosts());
     let other = (host + random.random_range(1..site.hosts().max(2))) % site.hosts();
--- a/crates/heathertrack_model/src/lib.rs
+++ b/crates/heathertrack_model/src/lib.rs
@@ -21,6 +21,7 @@
 mod load;
 mod network;
 mod orders;
+mod pattern;
 mod plan;
 mod process;
 mod store;
@@ -30,6 +31,7 @@
 
 pub use fault::{Fault, Trouble};
 pub use load::{Class, Load};
+pub use pattern::{Pattern, PatternError};
 pub use plan::{Plan, Site};
 pub use verdict::{Broken, Served, Verdict};
 pub use world::{World, run};
--- a/crates/heathertrack_model/src/load.rs
+++ b/crates/heathertrack_model/src/load.rs
@@ -31,12 +31,16 @@
     pub classes: Vec<Class>,
     /// All rates are multiplied by this.
     pub factor: f64,
-    /// Spread of widths and durations, and error of estimates: sigma of a normal logarithm.
+    /// Spread of widths and durations: sigma of a normal logarithm.
     pub spread: f64,
+    /// Error of estimates: sigma of a normal logarithm.
+    pub error: f64,
     /// Share of the jobs whose tasks fail wherever they run.
     pub poison: f64,
     /// Share of the callers that leave before their job's objective.
     pub leaving: f64,
+    /// Share of the callers that send a refused job again, once, at the time they were told.
+    pub returning: f64,
 }
 
 /// Factor between objective and work, and what is added to it.
@@ -70,8 +74,10 @@
             ],
             factor: 1.0,
             spread: 0.4,
+            error: 0.4,
             poison: 0.002,
             leaving: 0.0,
+            returning: 0.0,
         }
     }
 
@@ -97,7 +103,7 @@
         let width = log_normal(class.width, self.spread, WIDEST).round().max(1.0);
         let mean = log_normal(class.work.as_secs_f64(), self.spread, WIDEST);
         let cpu = log_normal(class.cpu, CPU_SPREAD, 1.5) as u32;
-        let estimate = log_normal(mean, self.spread, WIDEST);
+        let estimate = log_normal(mean, self.error, WIDEST);
         let work: Vec<Duration> = (0..width as usize)
             .map(|_| Duration::from_secs_f64(log_normal(mean, UNEVEN, 2.0)))
             .collect();
--- a/crates/heathertrack_model/src/plan.rs
+++ b/crates/heathertrack_model/src/plan.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// The same upstreams in the hands of one host that is as near to each caller and upstream as
+    /// any: one queue that knows everything at once.
+    pub fn central(&self) -> Self {
+        let upstreams_each = self.upstreams();
+        let cpu_share = upstreams_each as f64;
+        Site { centres: 1, hosts_each: 1, cpu_share, upstreams_each, ..self.clone() }
+    }
+
     /// Entry hosts in all.
     pub fn hosts(&self) -> usize {
         self.centres * self.hosts_each
@@ -90,6 +98,14 @@
         }
     }
 
+    /// The bound that no dispatcher of several hosts can beat: one queue for all upstreams, with
+    /// exact estimates. Faults of hosts and of paths between them are left out.
+    pub fn central(mut self) -> Self {
+        self.load.error = 0.0;
+        self.faults.retain(|fault| !fault.trouble.is_of_hosts());
+        Plan { site: self.site.central(), ..self }
+    }
+
     /// The same with some faults that the seed draws.
     pub fn troubled(mut self, count: usize) -> Self {
         self.faults = Fault::draw(self.seed, count, self.length, &self.site);
--- a/crates/heathertrack_model/src/verdict.rs
+++ b/crates/heathertrack_model/src/verdict.rs
@@ -15,6 +15,10 @@
     pub refused: u32,
     /// All others.
     pub failed: u32,
+    /// Refused ones that were sent again at the time that the refusal told.
+    pub returned: u32,
+    /// Of those, answered within their objective, counted from their return.
+    pub returned_in_time: u32,
     /// Worth of all.
     pub owed: f64,
     /// Worth of those that were served.
@@ -34,6 +38,8 @@
         self.late += other.late;
         self.refused += other.refused;
         self.failed += other.failed;
+        self.returned += other.returned;
+        self.returned_in_time += other.returned_in_time;
         self.owed += other.owed;
         self.earned += other.earned;
     }
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -37,12 +37,14 @@
     let began = Instant::now();
     let mut refusals = 0;
     let mut submissions = 0;
+    let mut told = None;
     let outcome = loop {
         submissions += 1;
         let request = request(&world, &drawn, &id);
         match world.submit(request, leaves).await {
-            Answer::Outcome(Outcome::NotRun { .. }) => {
+            Answer::Outcome(Outcome::NotRun { retry_after, .. }) => {
                 refusals += 1;
+                told = Some(retry_after);
                 break None;
             }
             Answer::Outcome(Outcome::MayHaveRun(_)) | Answer::Broken => {
@@ -60,11 +62,19 @@
             }
         }
     };
-    if refusals == submissions {
+    let age = began.elapsed();
+    let back = match told {
+        Some(wait) if refusals == submissions => come_back(&world, &drawn, &id, wait).await,
+        _ => None,
+    };
+    if refusals == submissions && back.is_none() {
         world.refused.borrow_mut().insert(id);
     }
-    let age = began.elapsed();
     let served = &mut world.served.borrow_mut()[drawn.class];
+    if let Some(in_time) = back {
+        served.returned += 1;
+        served.returned_in_time += u32::from(in_time);
+    }
     served.asked += 1;
     served.owed += drawn.worth;
     let right = match outcome {
@@ -85,6 +95,25 @@
     }
 }
 
+/// Sends a refused job again once the time is over that its caller was told to wait. Gives whether it
+/// was then done in time; `None` if this caller doesn't come back.
+async fn come_back(world: &World, drawn: &Drawn, id: &Id, wait: Duration) -> Option<bool> {
+    let returning = world.plan.load.returning;
+    // Nothing is drawn where nobody returns, so that seeds repeat what they gave before.
+    if returning == 0.0 || !world.random.borrow_mut().random_bool(returning) {
+        return None;
+    }
+    sleep(wait).await;
+    let sent = Instant::now();
+    let answer = world.submit(request(world, drawn, id), None).await;
+    let done = match answer {
+        Answer::Outcome(Outcome::Completed) => true,
+        Answer::Outcome(Outcome::Failed) => drawn.poison,
+        _ => false,
+    };
+    Some(done && sent.elapsed() <= drawn.objective)
+}
+
 fn request(world: &World, drawn: &Drawn, id: &Id) -> Request {
     let class = &world.plan.load.classes[drawn.class];
     let zero = heathertrack::clock::Time::ZERO;
--- /dev/null
+++ b/crates/heathertrack_model/tests/patterns.rs
@@ -0,0 +1,77 @@
+//! Load pattern files: those of the repository, and mistakes in them.
+
+use heathertrack_model::{Pattern, PatternError, Trouble, run};
+use std::path::Path;
+use std::time::Duration;
+
+fn pattern(faults: &str) -> Result<Pattern, PatternError> {
+    Pattern::parse(&format!(r#"{{ "seconds": 2, "load": 0.2, "faults": [{faults}] }}"#))
+}
+
+#[test]
+fn a_pattern_names_machines_load_and_faults() {
+    let text = r#"{ "site": { "centres": 2, "hosts_each": 1, "speeds": [2.0] }, "seconds": 3,
+        "load": 0.5, "returning": 0.25,
+        "faults": [{ "at_s": 1.5, "kind": "kill", "host": 1, "down_s": 0.5 }] }"#;
+
+    let plan = Pattern::parse(text).unwrap().plan(7);
+
+    assert_eq!((plan.seed, plan.site.hosts(), plan.site.upstreams()), (7, 2, 32));
+    assert_eq!(plan.site.speeds, [2.0]);
+    assert_eq!((plan.load.factor, plan.load.returning), (0.5, 0.25));
+    assert_eq!(plan.length, Duration::from_secs(3));
+    assert_eq!(plan.faults[0].at, Duration::from_millis(1_500));
+    let kill = Trouble::Kill { host: 1, down: Duration::from_millis(500) };
+    assert_eq!(plan.faults[0].trouble, kill);
+}
+
+#[test]
+fn what_is_not_there_is_refused() {
+    for fault in [
+        r#"{ "at_s": 1, "kind": "kill", "host": 6, "down_s": 1 }"#,
+        r#"{ "at_s": 1, "kind": "cut_hosts", "from": 2, "to": 2, "span_s": 1 }"#,
+        r#"{ "at_s": 1, "kind": "cut_centre", "centre": 3, "span_s": 1 }"#,
+        r#"{ "at_s": 1, "kind": "hanging", "upstream": 48, "span_s": 1 }"#,
+    ] {
+        assert!(matches!(pattern(fault), Err(PatternError::Unknown(_))), "{fault}");
+    }
+}
+
+#[test]
+fn figures_out_of_range_are_refused() {
+    for fault in [
+        r#"{ "at_s": -1, "kind": "kill_all", "down_s": 1 }"#,
+        r#"{ "at_s": 1, "kind": "leaving", "share": 1.5, "span_s": 1 }"#,
+        r#"{ "at_s": 1, "kind": "burst", "factor": 0, "span_s": 1 }"#,
+    ] {
+        assert!(matches!(pattern(fault), Err(PatternError::OutOfRange { .. })), "{fault}");
+    }
+}
+
+#[test]
+fn unknown_fields_and_kinds_are_refused() {
+    for fault in [
+        r#"{ "at_s": 1, "kind": "kill_all", "down": 1 }"#,
+        r#"{ "at_s": 1, "kind": "kill_all", "down_s": 1, "host": 2 }"#,
+        r#"{ "at_s": 1, "kind": "flood" }"#,
+    ] {
+        assert!(matches!(pattern(fault), Err(PatternError::Unreadable(_))), "{fault}");
+    }
+    assert!(Pattern::parse(r#"{ "seconds": 2, "load": 1, "lod": 1 }"#).is_err());
+}
+
+#[test]
+fn the_patterns_of_the_repository_are_read_and_break_no_promise() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("patterns");
+    let mut played = 0;
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        let pattern = Pattern::parse(&std::fs::read_to_string(&path).unwrap()).unwrap();
+
+        let verdict = run(&pattern.plan(1));
+
+        assert!(verdict.broken.is_empty(), "{}: {:?}", path.display(), verdict.broken);
+        played += 1;
+    }
+    assert!(played > 0);
+}
