--- /dev/null
+++ b/crates/heathertrack_cli/tests/explain.rs
@@ -0,0 +1,92 @@
+//! `heathertrack explain` on logs that hosts wrote while they served.
+
+use heathertrack_stand_in::{ROUTE_PREFIX, Site, block_on};
+use hyper::Method;
+use std::process::{Command, Output};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time for the last lines to reach the files.
+const WRITTEN: Duration = Duration::from_millis(300);
+
+/// Sends a job to the first host and explains it from the logs of all.
+async fn explained(site: &Site, (id, body): (String, String)) -> (Option<u16>, Output) {
+    let answer = site.send(0, Method::POST, &format!("{ROUTE_PREFIX}{id}"), body).await;
+    sleep(WRITTEN).await;
+    (answer.status(), explain(site, &id))
+}
+
+fn explain(site: &Site, id: &str) -> Output {
+    let program = env!("CARGO_BIN_EXE_heathertrack");
+    Command::new(program).arg("explain").arg(id).args(site.logs()).output().unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn a_refused_job_is_traced_to_the_dispatcher_and_its_reason() {
+    block_on(async {
+        let site = Site::start(2, 2).await;
+        let body = r#"{"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":99000}]}"#;
+        let job = ("00000000000000ab".to_owned(), body.to_owned());
+
+        let (status, output) = explained(&site, job).await;
+
+        assert_eq!(status, Some(503));
+        let text = text(&output);
+        let cause = text.lines().last().unwrap_or_default();
+        assert!(cause.starts_with("refused by edge-"), "{text}");
+        assert!(cause.contains("no upstream can hold a task"), "{text}");
+    });
+}
+
+#[test]
+fn a_failed_job_is_traced_to_its_runs() {
+    block_on(async {
+        let site = Site::start(2, 2).await;
+
+        let (status, output) = explained(&site, site.doomed_job(1, 30)).await;
+
+        assert_eq!(status, Some(200));
+        let text = text(&output);
+        assert!(text.lines().last().unwrap_or_default().starts_with("failed after"), "{text}");
+        // Both attempts that the route allows, each with its upstream.
+        assert!(text.contains("(2 failed runs)"), "{text}");
+        assert!(text.matches("run_ended").count() == 2 && text.contains("upstream=\"i-"), "{text}");
+    });
+}
+
+#[test]
+fn a_late_job_is_traced_through_its_starts() {
+    block_on(async {
+        let site = Site::start(2, 2).await;
+
+        let (status, output) = explained(&site, site.underestimated_job(280, 50)).await;
+
+        assert_eq!(status, Some(200));
+        let text = text(&output);
+        assert!(text.lines().last().unwrap_or_default().starts_with("late:"), "{text}");
+        let events = ["job_routed", "job_taken", "task_started", "job_late"];
+        let places: Vec<_> = events.iter().map(|event| text.find(event)).collect();
+        assert!(places.iter().all(Option::is_some), "{text}");
+        assert!(places.is_sorted(), "{text}");
+    });
+}
+
+#[test]
+fn a_job_in_time_has_one_line_and_an_unknown_one_none() {
+    block_on(async {
+        let site = Site::start(2, 2).await;
+
+        let (status, output) = explained(&site, site.job(1, 20)).await;
+        let unknown = explain(&site, "00000000000000ff");
+
+        assert_eq!(status, Some(200));
+        assert!(text(&output).ends_with("answered in time\n"), "{}", text(&output));
+        assert_eq!(text(&output).lines().count(), 2);
+        assert_eq!(unknown.status.code(), Some(1));
+        assert!(text(&unknown).contains("no line tells"), "{}", text(&unknown));
+    });
+}
