Take neither a refused connection nor a lapse beside another dispatcher for the end of a run

Change: only an answer of another process (421) or a listing says that runs are gone; a refused start was not sent. A look without answer ends the prolonging at once, so that what is lost lapses sooner. While a known host has no link, runs count as shared, and their lapse proves nothing.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -32,6 +32,8 @@
     ends: [u64; 5],
     /// Looks are short until then.
     wary_until: Time,
+    /// Another host may dispatch to the same upstreams.
+    has_rivals: bool,
     sequence: u64,
     effects: Vec<Effect>,
 }
@@ -47,9 +49,10 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Whether any job is in progress or any run holds room.
+    /// Whether no job is in progress and no run has an end that is waited for.
     pub fn is_idle(&self) -> bool {
-        self.jobs.is_empty() && self.runs.is_empty()
+        let forsaken = |run: &Run| run.shared && run.job.is_none();
+        self.jobs.is_empty() && self.runs.values().all(forsaken)
     }
 
     /// Takes a job. Its outcome comes as [`Effect::Finish`], possibly at once.
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -11,9 +11,6 @@
 /// Pause between looks while such ends are listed: the upstream answers at once as long as an end
 /// isn't acknowledged.
 const STRANGE_PAUSE: Duration = Duration::from_millis(40);
-/// Failed looks in a row after which looks no longer prolong the lease: the answers may be lost on
-/// their way only, and what runs there unseen has to end.
-const BLIND_LOOKS: u32 = 2;
 /// Pause between looks at an upstream of another dispatcher's runs.
 const TAKING_PAUSE: Duration = Duration::from_millis(120);
 
@@ -131,16 +128,13 @@
         }
     }
 
-    /// An upstream gave no answer to a look.
-    pub fn look_failed(&mut self, key: UpstreamKey, unreachable: bool, now: Time) {
+    /// An upstream gave no answer to a look. A refused connection says no more: a cut path refuses
+    /// too, and what runs behind it ends when its lease lapses.
+    pub fn look_failed(&mut self, key: UpstreamKey, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.looks_out = upstream.looks_out.saturating_sub(1);
         upstream.misses += 1;
-        if unreachable {
-            self.unreachable(key, now);
-        } else {
-            self.note_mute(key, now);
-        }
+        self.note_mute(key, now);
         let misses = self.upstreams.get(key).map_or(0, |upstream| upstream.misses);
         let pause = if misses <= 1 { Duration::ZERO } else { self.options.retry };
         if let Some(upstream) = self.upstreams.get_mut(key) {
@@ -150,8 +144,8 @@
         self.place(now);
     }
 
-    /// Nobody listens there: its process is gone, and all that ran in it.
-    pub fn unreachable(&mut self, key: UpstreamKey, now: Time) {
+    /// Another process answers there: the upstream's own is gone, with all that ran in it.
+    pub fn replaced(&mut self, key: UpstreamKey, now: Time) {
         self.note_mute(key, now);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.clock = None;
@@ -234,10 +228,12 @@
             return;
         }
         let busy = !upstream.runs.is_empty();
-        // A run that can't be stopped ends only if nothing prolongs the lease there.
+        // A run that can't be stopped ends only if nothing prolongs the lease there. Nor does anything
+        // after a look without answer: the answers may be lost on their way only, and what runs there
+        // unseen has to end. The next answer comes well before the lease does, unless the path is cut.
         let prolongs = busy
             && upstream.tenure != Tenure::Taking
-            && upstream.misses < BLIND_LOOKS
+            && upstream.misses == 0
             && !upstream.runs.iter().any(undead);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let until_ms = if prolongs { upstream.prolong(lease, now) } else { None };
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -48,8 +48,8 @@
                 }
                 self.never_ran(key, 0);
             }
-            StartAnswer::Unreachable => {
-                self.unreachable(upstream_key, now);
+            StartAnswer::Replaced => {
+                self.replaced(upstream_key, now);
             }
             StartAnswer::Unsent => {
                 self.note_mute(upstream_key, now);
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -136,6 +136,7 @@
             settled: None,
             unchecked: false,
             seen: false,
+            shared: self.has_rivals,
             stop_attempts: 0,
             percent: 0,
             percent_since: now,
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -46,11 +46,12 @@
         }
     }
 
-    /// Ends runs whose lease has surely lapsed: nothing prolonged it for long enough.
+    /// Ends runs whose lease has surely lapsed: nothing prolonged it for long enough. Where another
+    /// dispatcher may have, only the upstream's lists or the loss of its record tell.
     fn end_lapsed(&mut self, now: Time) {
         let lapsed = |(_, run): &(RunKey, &Run)| {
-            let upstream = self.upstreams.get(run.upstream);
-            upstream.is_none_or(|upstream| now > upstream.lapsed)
+            let Some(upstream) = self.upstreams.get(run.upstream) else { return true };
+            now > upstream.lapsed && (!run.shared || upstream.missing_since.is_some())
         };
         let keys: Vec<RunKey> = self.runs.iter().filter(lapsed).map(|(key, _)| key).collect();
         for key in keys {
@@ -92,6 +93,15 @@
         }
     }
 
+    /// Takes whether another host may dispatch to the same upstreams: one without a link, which may
+    /// be cut off and go on.
+    pub fn set_rivals(&mut self, has_rivals: bool) {
+        self.has_rivals = has_rivals;
+        if has_rivals {
+            self.runs.values_mut().for_each(|run| run.shared = true);
+        }
+    }
+
     /// Gives all jobs up.
     pub fn give_up_all(&mut self, why: &'static str, now: Time) {
         let jobs: Vec<JobKey> = self.jobs.keys().collect();
@@ -100,9 +110,11 @@
         }
     }
 
-    /// The process was suspended for longer than its leases: all runs are over.
+    /// The process was suspended for longer than its leases: all runs are over that no other
+    /// dispatcher can have kept alive.
     pub fn resumed(&mut self, now: Time) {
-        let runs: Vec<RunKey> = self.runs.keys().collect();
+        let own = |(_, run): &(RunKey, &Run)| !run.shared;
+        let runs: Vec<RunKey> = self.runs.iter().filter(own).map(|(key, _)| key).collect();
         for run in runs {
             self.ended(run, Ended::Lapsed, now);
         }
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -21,8 +21,8 @@
     TooLate,
     /// Refused by an upstream that is unwell or another process than named; nothing was started.
     Unwell,
-    /// Nobody listens there: the upstream's process is gone.
-    Unreachable,
+    /// Another process answers there: the upstream's own is gone, with all that ran in it.
+    Replaced,
     /// No connection could be made, so the order was not sent.
     Unsent,
     /// No answer: it may run, or may be started later.
@@ -60,6 +60,9 @@
     pub unchecked: bool,
     /// Whether the upstream has said that it runs.
     pub seen: bool,
+    /// Another dispatcher may have prolonged the lease of its upstream meanwhile, so that it may
+    /// live on after what was prolonged here.
+    pub shared: bool,
     /// Orders to stop it that got no answer.
     pub stop_attempts: u32,
     /// Percent of its work when it was last listed, and since when.
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -231,18 +231,18 @@
     let (upstream, run, _, _) = starts(&pool.take_effects()).remove(0);
     pool.started(run, StartAnswer::Running, Some(5_001), at(101));
     pool.take_effects();
-    // All looks fail. The first failure prolongs the lease once more, the others don't.
+    // All looks fail, and none of those that follow prolongs the lease.
     for ms in [200, 300, 400] {
-        pool.look_failed(upstream, false, at(ms));
+        pool.look_failed(upstream, at(ms));
     }
     pool.take_effects();
 
-    pool.tick(at(910));
+    pool.tick(at(810));
     let early = starts(&pool.take_effects());
-    pool.tick(at(920));
+    pool.tick(at(820));
     let late = starts(&pool.take_effects());
 
-    assert!(early.is_empty(), "the lease prolonged at 200 ms lasts 700 ms on a clock 2% slow");
+    assert!(early.is_empty(), "the lease given at 101 ms lasts 700 ms on a clock 2% slow");
     assert_eq!(late.len(), 1);
     assert_ne!(late[0].0, upstream);
 }
@@ -370,3 +370,57 @@
 
     assert!(at_once.is_empty());
 }
+
+#[test]
+fn a_refused_connection_is_no_proof_that_a_run_is_over() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, task, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_011), at(101));
+    pool.take_effects();
+
+    // Refused at once, again and again, until the lease that was given with the start lapses.
+    for ms in (110..800).step_by(30) {
+        pool.look_failed(upstream, at(ms));
+        pool.tick(at(ms));
+        assert!(starts(&pool.take_effects()).is_empty(), "{task} may still run at {ms} ms");
+    }
+    pool.tick(at(830));
+
+    let again = starts(&pool.take_effects());
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, upstream);
+}
+
+#[test]
+fn an_upstream_that_was_replaced_gives_its_tasks_back_at_once() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, _, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_011), at(101));
+    pool.take_effects();
+
+    pool.replaced(upstream, at(110));
+    pool.tick(at(111));
+
+    let again = starts(&pool.take_effects());
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, upstream);
+}
+
+#[test]
+fn a_run_that_another_dispatcher_may_keep_alive_is_not_taken_for_lapsed() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(job("j", 1, 6_800), at(100));
+    let (upstream, run, task, _) = starts(&pool.take_effects()).remove(0);
+    pool.started(run, StartAnswer::Running, Some(5_011), at(101));
+    pool.take_effects();
+
+    // A host that may dispatch to the same upstreams is cut off, and comes back.
+    pool.set_rivals(true);
+    pool.look_failed(upstream, at(200));
+    pool.set_rivals(false);
+    pool.tick(at(1_000));
+
+    assert!(starts(&pool.take_effects()).is_empty(), "{task} may still run");
+}
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -24,6 +24,8 @@
     CutHosts { from: usize, to: usize, span: Duration },
     /// Nothing gets from a host to some upstreams, or back.
     CutUpstreams { host: usize, share: f64, back: bool, span: Duration },
+    /// Connections from a host to some upstreams are reset, and new ones refused.
+    ResetUpstreams { host: usize, share: f64, span: Duration },
     /// A data centre is cut off from all others and the store.
     CutCentre { centre: usize, span: Duration },
     /// A share of the orders is answered by nobody and carried out seconds later.
@@ -83,6 +85,7 @@
             | Trouble::Stop { .. }
             | Trouble::CutHosts { .. }
             | Trouble::CutUpstreams { .. }
+            | Trouble::ResetUpstreams { .. }
             | Trouble::CutCentre { .. }
             | Trouble::StoreDown { .. } => true,
             Trouble::LateOrders { .. }
@@ -105,7 +108,8 @@
             | Trouble::Power { host, .. }
             | Trouble::Freeze { host, .. }
             | Trouble::Stop { host }
-            | Trouble::CutUpstreams { host, .. } => host < hosts,
+            | Trouble::CutUpstreams { host, .. }
+            | Trouble::ResetUpstreams { host, .. } => host < hosts,
             Trouble::CutHosts { from, to, .. } => from < hosts && to < hosts && from != to,
             Trouble::CutCentre { centre, .. } => centre < site.centres,
             Trouble::Crash { upstream, .. }
@@ -130,7 +134,7 @@
     let span = Duration::from_millis(random.random_range(300..5_000));
     let down = Duration::from_millis(random.random_range(300..3_500));
     let share = random.random_range(0.02..0.5);
-    match random.random_range(0..18) {
+    match random.random_range(0..20) {
         0 => Trouble::Kill { host, down },
         1 => Trouble::Power { host, down },
         2 => Trouble::KillAll { down },
@@ -145,6 +149,7 @@
         14 => Trouble::Hanging { upstream, span },
         15 => Trouble::Drain { upstream, after: span },
         16 => Trouble::StoreDown { span },
+        17 | 18 => Trouble::ResetUpstreams { host, share: 1.0, span },
         _ => Trouble::Leaving { share, span },
     }
 }
--- a/crates/heathertrack_model/src/network.rs
+++ b/crates/heathertrack_model/src/network.rs
@@ -40,6 +40,7 @@
     places: RefCell<BTreeMap<SocketAddr, Node>>,
     centres: RefCell<BTreeMap<Node, usize>>,
     cuts: RefCell<BTreeSet<(Node, Node)>>,
+    resets: RefCell<BTreeSet<(Node, Node)>>,
     dark: RefCell<BTreeSet<Node>>,
     pub(super) tasks: RefCell<Vec<Put>>,
     pub(super) more: Notify,
@@ -75,6 +76,20 @@
         }
     }
 
+    /// Refuses connections from one node to another, or lets them be made again.
+    pub fn reset(&self, from: Node, to: Node, reset: bool) {
+        if reset {
+            self.resets.borrow_mut().insert((from, to));
+        } else {
+            self.resets.borrow_mut().remove(&(from, to));
+        }
+    }
+
+    /// Whether connections from one node to another are refused.
+    pub fn is_reset(&self, from: Node, to: Node) -> bool {
+        self.resets.borrow().contains(&(from, to))
+    }
+
     /// Takes a node's power, or gives it back.
     pub fn darken(&self, node: Node, dark: bool) {
         if dark {
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -61,6 +61,9 @@
         let (index, upstream) = self.find(name)?;
         let (own, there) = (Node::Host(self.host), Node::Upstream(index));
         self.network.carry(own, there).await;
+        if self.network.is_reset(own, there) {
+            return None;
+        }
         if upstream.borrow().down {
             self.network.carry(there, own).await;
             return None;
@@ -105,7 +108,7 @@
         };
         match timeout(TIMEOUT, self.give(upstream, start)).await {
             Ok(Some(answer)) => answer,
-            Ok(None) => (StartAnswer::Unreachable, None),
+            Ok(None) => (StartAnswer::Unsent, None),
             Err(_) => (StartAnswer::Unknown, None),
         }
     }
--- a/crates/heathertrack_model/src/pattern/trouble.rs
+++ b/crates/heathertrack_model/src/pattern/trouble.rs
@@ -26,6 +26,7 @@
     Stop { host: usize },
     CutHosts { from: usize, to: usize, span_s: f64 },
     CutUpstreams { host: usize, share: f64, back: bool, span_s: f64 },
+    ResetUpstreams { host: usize, share: f64, span_s: f64 },
     CutCentre { centre: usize, span_s: f64 },
     LateOrders { share: f64, span_s: f64 },
     LostAnswers { share: f64, span_s: f64 },
@@ -67,6 +68,9 @@
             Kind::CutUpstreams { host, share: part, back, span_s } => {
                 Trouble::CutUpstreams { host, share: share(part)?, back, span: span(span_s)? }
             }
+            Kind::ResetUpstreams { host, share: part, span_s } => {
+                Trouble::ResetUpstreams { host, share: share(part)?, span: span(span_s)? }
+            }
             Kind::CutCentre { centre, span_s } => {
                 Trouble::CutCentre { centre, span: span(span_s)? }
             }
--- a/crates/heathertrack_model/src/world/trouble.rs
+++ b/crates/heathertrack_model/src/world/trouble.rs
@@ -35,6 +35,15 @@
             let ways: Vec<_> = (0..count).map(way).collect();
             world.cut(&ways, span).await;
         }
+        Trouble::ResetUpstreams { host, share, span } => {
+            let count = (world.plan.site.upstreams() as f64 * share).ceil() as usize;
+            let ways = || (0..count).map(|upstream| (Node::Host(host), Node::Upstream(upstream)));
+            world.disturb(host);
+            ways().for_each(|(from, to)| world.network.reset(from, to, true));
+            sleep(span).await;
+            ways().for_each(|(from, to)| world.network.reset(from, to, false));
+            world.disturb(host);
+        }
         Trouble::CutCentre { centre, span } => world.cut_centre(centre, span).await,
         Trouble::LateOrders { share, span } => {
             during(&world.mishaps.late, share, 0.0, span).await;
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -96,3 +96,14 @@
     assert!(breaks(&options, &faults));
     assert!(!breaks(&Options::default(), &faults));
 }
+
+#[test]
+fn refused_connections_are_no_proof_that_runs_are_over() {
+    let reset = |host, at| Fault {
+        at: Duration::from_millis(at),
+        trouble: Trouble::ResetUpstreams { host, share: 1.0, span: Duration::from_millis(600) },
+    };
+    let faults: Vec<Fault> = (0..6).map(|host| reset(host, 800 + 1_000 * host as u64)).collect();
+
+    assert!(!breaks(&Options::default(), &faults));
+}
--- a/crates/heathertrackd/src/call.rs
+++ b/crates/heathertrackd/src/call.rs
@@ -50,7 +50,7 @@
             Err(fault @ (Fault::Unreachable(_) | Fault::Refused(_))) => {
                 Reply::Unsent(fault.to_string())
             }
-            Err(fault @ (Fault::AnswerLost(_) | Fault::BadAnswer(_))) => {
+            Err(fault @ (Fault::Replaced(_) | Fault::AnswerLost(_) | Fault::BadAnswer(_))) => {
                 Reply::Lost(fault.to_string())
             }
         }
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -97,8 +97,8 @@
             Ok(clock_ms) => {
                 self.with_pool(|pool, now| pool.stopped(run, true, clock_ms, now));
             }
-            Err(Fault::Refused(_)) => {
-                self.with_pool(|pool, now| pool.unreachable(upstream, now));
+            Err(Fault::Replaced(_)) => {
+                self.with_pool(|pool, now| pool.replaced(upstream, now));
             }
             Err(_) => {
                 sleep(AGAIN).await;
@@ -120,11 +120,11 @@
                 Err(fault) => {
                     metrics::looked(false);
                     entry.journal.look_failed(&name, &fault);
-                    let unreachable = matches!(fault, Fault::Refused(_));
-                    if !unreachable {
-                        sleep(AGAIN).await;
+                    if matches!(fault, Fault::Replaced(_)) {
+                        entry.with_pool(|pool, now| pool.replaced(upstream, now));
                     }
-                    entry.with_pool(|pool, now| pool.look_failed(upstream, unreachable, now));
+                    sleep(AGAIN).await;
+                    entry.with_pool(|pool, now| pool.look_failed(upstream, now));
                 }
             }
         });
--- a/crates/heathertrackd/src/entry/journal.rs
+++ b/crates/heathertrackd/src/entry/journal.rs
@@ -209,6 +209,12 @@
         self.write("item_unreadable", json!({ "key": key, "why": why, "revision": revision }));
     }
 
+    /// A host without a link may dispatch to the same upstreams, or no longer.
+    pub fn rivals(&self, has_rivals: bool, hosts: usize, peers: usize) {
+        let fields = json!({ "possible": has_rivals, "hosts": hosts, "live_peers": peers });
+        self.write("rivals_changed", fields);
+    }
+
     /// The upstreams that this host dispatches to have changed.
     pub fn owners(&self, owned: usize, upstreams: usize, hosts: usize) {
         let fields = json!({ "owned": owned, "upstreams": upstreams, "live_hosts": hosts });
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -91,6 +91,7 @@
             (peer.jobs, calls, peer.leaving)
         };
         self.journal.peer_lost(host, why, jobs.len(), calls.len());
+        self.note_rivals();
         for handed in calls {
             // A caller that has left needs no answer.
             let _ = handed.reply.send(Outcome::MayHaveRun("its dispatcher is gone"));
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -46,7 +46,7 @@
         StartAnswer::OldNumber => "old_number",
         StartAnswer::TooLate => "too_late",
         StartAnswer::Unwell => "unwell",
-        StartAnswer::Unreachable => "unreachable",
+        StartAnswer::Replaced => "replaced",
         StartAnswer::Unsent => "unsent",
         StartAnswer::Unknown => "no_answer",
     };
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -73,9 +73,21 @@
             state.dispatches = dispatches;
             state.owned = owned;
         }
+        self.note_rivals();
         self.carry_out();
     }
 
+    /// Notes whether a host without a link could dispatch to this host's upstreams.
+    pub(super) fn note_rivals(&self) {
+        let mut state = self.state.borrow_mut();
+        let has_rivals = state.owned > 0 && !state.is_linked(&self.record, &self.seeds.borrow());
+        if state.has_rivals != has_rivals {
+            state.has_rivals = has_rivals;
+            self.journal.rivals(has_rivals, state.hosts.len(), state.peers.len());
+        }
+        state.pool.set_rivals(has_rivals);
+    }
+
     fn candidates(&self, state: &State) -> Vec<Candidate> {
         let own = (!state.leaving).then(|| Candidate {
             host: self.record.name.clone(),
@@ -107,12 +119,16 @@
 impl State {
     /// Whether this host has just started and lacks links that it wants.
     fn is_settling(&self, own: &HostRecord, seeds: &[SocketAddr], now: Time) -> bool {
-        let linked = |host: &HostRecord| {
+        now < Time::ZERO + SETTLING && !self.is_linked(own, seeds)
+    }
+
+    /// Whether there is a link to each host to which one is wanted.
+    fn is_linked(&self, own: &HostRecord, seeds: &[SocketAddr]) -> bool {
+        self.hosts.values().all(|host| {
             host.name == own.name
                 || self.peers.contains_key(&host.name)
                 || !self.bond(own, host, seeds).is_wanted(self.hosts.len())
-        };
-        now < Time::ZERO + SETTLING && !self.hosts.values().all(linked)
+        })
     }
 
     fn upstreams_by_centre(&self) -> BTreeMap<DataCentre, Vec<Upstream>> {
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -54,6 +54,8 @@
     pub dispatches: bool,
     /// How many upstreams this host owns, of whichever data centre.
     pub owned: usize,
+    /// A host without a link could dispatch to the same upstreams.
+    pub has_rivals: bool,
     /// The owners of upstreams may have changed.
     pub owners_stale: bool,
     /// When a data centre was last seen without a live host.
@@ -137,6 +139,7 @@
             dispatchers: Vec::new(),
             dispatches: false,
             owned: 0,
+            has_rivals: false,
             owners_stale: true,
             deserted: BTreeMap::new(),
         }
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -31,6 +31,7 @@
     let mut next = Instant::now();
     loop {
         sleep_until(next).await;
+        entry.note_rivals();
         entry.with_pool(Pool::tick);
         entry.update_owners();
         let idle = entry.state.borrow().pool.is_idle();
