--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -103,7 +103,8 @@
     if returning == 0.0 || !world.random.borrow_mut().random_bool(returning) {
         return None;
     }
-    sleep(wait).await;
+    // The header holds whole seconds.
+    sleep(Duration::from_secs(wait.as_secs_f64().ceil().max(1.0) as u64)).await;
     let sent = Instant::now();
     let answer = world.submit(request(world, drawn, id), None).await;
     let done = match answer {
