--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -108,7 +108,7 @@
         if !self.could_run(job) {
             return Some(("no upstream can hold a task", expected));
         }
-        let patience = self.patience(job);
+        let patience = self.patience(&job.request);
         let waited = now.since(job.request.received);
         (waited.saturating_add(expected) > patience).then_some(("the queue is too long", expected))
     }
@@ -132,8 +132,8 @@
     }
 
     /// How long a job may wait without a start.
-    fn patience(&self, job: &Job) -> Duration {
-        job.request.objective.mul_f64(self.options.wait_share)
+    pub fn patience(&self, request: &Request) -> Duration {
+        request.objective.mul_f64(self.options.wait_share)
     }
 
     fn refuse(&mut self, key: JobKey, why: &'static str, expected: Duration, now: Time) {
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -33,7 +33,7 @@
         for key in keys {
             let Some(job) = self.jobs.get(key) else { continue };
             let waited = now.since(job.request.received);
-            if !job.begun && !job.ran && waited > self.patience(job) {
+            if !job.begun && !job.ran && waited > self.patience(&job.request) {
                 self.refuse(key, "nothing was free in time", waited, now);
                 continue;
             }
--- a/crates/heathertrack_cli/tests/explain.rs
+++ b/crates/heathertrack_cli/tests/explain.rs
@@ -63,7 +63,7 @@
     block_on(async {
         let site = Site::start(2, 2).await;
 
-        let (status, output) = explained(&site, site.underestimated_job(280, 50)).await;
+        let (status, output) = explained(&site, site.misjudged_job(280, 50)).await;
 
         assert_eq!(status, Some(200));
         let text = text(&output);
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -11,11 +11,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 /// Dispatchers that a job is offered to one after another, as long as none has started any of it.
 const OFFERS: usize = 2;
 /// Share of the objective after which a job that nobody has room for isn't offered again.
 const OFFER_SHARE: f64 = 0.2;
+/// Pause between looks for a dispatcher while none is known: a fraction of the shortest wait that a
+/// job bears.
+const DISPATCHER_LOOK: Duration = Duration::from_millis(10);
 /// What a caller is told to wait when no dispatcher is known: about the time of a takeover.
 const TAKEOVER: Duration = Duration::from_secs(2);
 
@@ -65,7 +69,15 @@
             if late && !tried.is_empty() {
                 break;
             }
-            let Some(host) = self.dispatcher(&job.steps, &tried, now) else { break };
+            let Some(host) = self.dispatcher(&job.steps, &tried, now) else {
+                // After a start or a takeover a dispatcher is soon known.
+                let patience = self.state.borrow().pool.patience(&job);
+                if tried.is_empty() && now.since(job.received) < patience {
+                    sleep(DISPATCHER_LOOK).await;
+                    continue;
+                }
+                break;
+            };
             self.note_route(&job, &host);
             let mut offer = self.offer(&host, &job);
             tried.push(host);
