Let only dispatchers follow upstreams' records in large fleets

Cause: each upstream renews its record every 1.5 s, and every host read all of them: 240 records a second and host with 350 upstreams. Change: with more than 100 upstreams, hosts that don't dispatch follow the configuration alone and read everything every 10 s or more, 20 ms for each upstream; a host that is to dispatch reads everything first, unless the store doesn't answer. A peer is asked for the configuration alone by such a host.

--- a/crates/heathertrack/src/membership.rs
+++ b/crates/heathertrack/src/membership.rs
@@ -1,6 +1,7 @@
 //! Which hosts are there, which host holds which role, and who took over from whom.
 
 mod catch_up;
+pub mod depth;
 pub mod links;
 mod rendezvous;
 mod successions;
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -67,7 +67,7 @@
         service: if other { OTHER_SERVICE.into() } else { "service".into() },
         data_centre: DataCentre::new("a"),
         capacity: Needs { cpu: 16_000, memory: 1_000, accelerators: 0 },
-        labels: if index % 2 == 0 { vec![LABEL.into()] } else { Vec::new() },
+        labels: if index.is_multiple_of(2) { vec![LABEL.into()] } else { Vec::new() },
         draining: false,
         born_ms: None,
     }
--- a/crates/heathertrack_model/src/store.rs
+++ b/crates/heathertrack_model/src/store.rs
@@ -85,24 +85,44 @@
     }
 }
 
-impl Metadata for Store {
-    async fn read(&self) -> Result<Changes, Fault> {
-        self.call(Duration::ZERO, async { self.shelf.after(0) }).await
-    }
-
-    async fn changes(&self, after: u64, wait: Duration) -> Result<Changes, ReadFault> {
+impl Store {
+    async fn watch(
+        &self,
+        wanted: impl Fn(&Item) -> bool,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, ReadFault> {
+        let newer = || {
+            let mut changes = self.shelf.after(after);
+            changes.items.retain(&wanted);
+            changes
+        };
         let answer = async {
             let news = async {
-                while self.shelf.revision.get() <= after {
+                while newer().items.is_empty() {
                     self.shelf.changed.notified().await;
                 }
             };
             // Without news the answer is empty.
             let _ = timeout(wait, news).await;
-            self.shelf.after(after)
+            newer()
         };
         Ok(self.call(wait, answer).await?)
     }
+}
+
+impl Metadata for Store {
+    async fn read(&self) -> Result<Changes, Fault> {
+        self.call(Duration::ZERO, async { self.shelf.after(0) }).await
+    }
+
+    async fn changes(&self, after: u64, wait: Duration) -> Result<Changes, ReadFault> {
+        self.watch(|_| true, after, wait).await
+    }
+
+    async fn configuration(&self, after: u64, wait: Duration) -> Result<Changes, ReadFault> {
+        self.watch(|item| item.key == CONFIGURATION, after, wait).await
+    }
 
     async fn announce(&self, host: &HostRecord, _: Duration) -> Result<LeaseKey, Fault> {
         self.call(Duration::ZERO, async { self.shelf.put(Fact::Host(host.clone())) }).await?;
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -31,10 +31,10 @@
 /// Seeds that CI plays of the larger fleet, whose hosts don't all have links to each other.
 const FLEET_SEEDS: u64 = 4;
 
-/// Five hosts in each of three data centres.
+/// Five hosts in each of three data centres, with more upstreams than every host follows.
 fn fleet(seed: u64) -> Plan {
     let plan = Plan::small(seed);
-    Plan { site: Site { hosts_each: 5, ..plan.site.clone() }, ..plan }
+    Plan { site: Site { hosts_each: 5, upstreams_each: 36, ..plan.site.clone() }, ..plan }
 }
 
 #[test]
--- a/crates/heathertrack_platform/src/metadata.rs
+++ b/crates/heathertrack_platform/src/metadata.rs
@@ -90,6 +90,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, ReadFault>>;
 
+    /// Waits up to `wait` for changes of the operators' configuration after a revision.
+    fn configuration(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, ReadFault>>;
+
     /// Writes this host's record under a lease that ends `ttl` after its last renewal.
     fn announce(
         &self,
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -2,11 +2,13 @@
 
 use super::metrics;
 use super::node::{Entry, Environment};
+use heathertrack::clock::Time;
+use heathertrack::membership::depth::{Depth, reading_period};
 use heathertrack_platform::{Changes, Fact, Item, LeaseKey, Metadata, ReadFault, Subject};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait of one call for changes; short, so that a connection that went silent is noticed
 /// well within the time in which a configuration has to be in force.
@@ -31,36 +33,50 @@
     spawn_local(keep_record(entry.clone()));
 }
 
+/// One reading of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// Everything that it holds.
+    All,
+    /// What has changed.
+    Changes,
+    /// What has changed of the configuration.
+    Configuration,
+}
+
 async fn follow<E: Environment>(entry: Rc<Entry<E>>) {
-    let store = entry.environment.metadata().clone();
     let mut answers = true;
-    let mut complete = false;
+    // When everything was last read, unless something was missed since.
+    let mut read_all: Option<Time> = None;
     loop {
-        let after = entry.state.borrow().mirror.revision();
-        let result = if complete {
-            store.changes(after, WAIT).await
-        } else {
-            store.read().await.map_err(ReadFault::Call)
+        let reading = entry.next_reading(read_all);
+        let result = tokio::select! {
+            result = entry.read_store(reading) => result,
+            () = entry.follow_more.notified() => continue,
         };
         match result {
             Ok(changes) => {
                 metrics::store_called(true);
-                let now = entry.now();
-                entry.state.borrow_mut().store_read = Some(now);
                 if !answers {
                     entry.journal.store(true, "", changes.revision);
                     answers = true;
                 }
-                entry.take_changes(changes, !complete);
-                complete = true;
+                let now = entry.now();
+                if reading == Reading::All {
+                    read_all = Some(now);
+                }
+                entry.take_reading(reading, changes, now);
                 let hosts = entry.state.borrow().hosts.len() as u32;
-                sleep((PAUSE_EACH * hosts).clamp(PAUSE, LONGEST_PAUSE)).await;
+                let pause = (PAUSE_EACH * hosts).clamp(PAUSE, LONGEST_PAUSE);
+                // Whether the pause ends by itself or early, the store is asked again.
+                let _ = timeout(pause, entry.follow_more.notified()).await;
             }
-            Err(ReadFault::Forgotten) => complete = false,
+            Err(ReadFault::Forgotten) => read_all = None,
             Err(ReadFault::Call(fault)) => {
                 metrics::store_called(false);
                 if answers {
-                    entry.journal.store(false, &fault.to_string(), after);
+                    let revision = entry.state.borrow().mirror.revision();
+                    entry.journal.store(false, &fault.to_string(), revision);
                     answers = false;
                 }
                 let now = entry.now();
@@ -71,6 +87,49 @@
     }
 }
 
+impl<E: Environment> Entry<E> {
+    fn next_reading(self: &Rc<Self>, read_all: Option<Time>) -> Reading {
+        let now = self.now();
+        let state = self.state.borrow();
+        let Some(read_all) = read_all else { return Reading::All };
+        match state.depth() {
+            Depth::All if state.is_mirrored => Reading::Changes,
+            Depth::All => Reading::All,
+            Depth::Configuration if now.since(read_all) < reading_period(state.upstreams.len()) => {
+                Reading::Configuration
+            }
+            Depth::Configuration => Reading::All,
+        }
+    }
+
+    async fn read_store(&self, reading: Reading) -> Result<Changes, ReadFault> {
+        let store = self.environment.metadata();
+        let (mirrored, configured) = {
+            let state = self.state.borrow();
+            (state.mirror.revision(), state.configured)
+        };
+        match reading {
+            Reading::All => store.read().await.map_err(ReadFault::Call),
+            Reading::Changes => store.changes(mirrored, WAIT).await,
+            Reading::Configuration => store.configuration(configured, WAIT).await,
+        }
+    }
+
+    fn take_reading(self: &Rc<Self>, reading: Reading, mut changes: Changes, now: Time) {
+        {
+            let mut state = self.state.borrow_mut();
+            state.store_read = Some(now);
+            state.configured = state.configured.max(changes.revision);
+            state.is_mirrored = reading != Reading::Configuration;
+        }
+        if reading == Reading::Configuration {
+            // Other items may have changed up to that revision.
+            changes.revision = 0;
+        }
+        self.take_changes(changes, reading == Reading::All);
+    }
+}
+
 async fn keep_record<E: Environment>(entry: Rc<Entry<E>>) {
     let store = entry.environment.metadata().clone();
     let mut lease: Option<LeaseKey> = None;
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -39,8 +39,12 @@
         how: Ended,
     },
     /// Asks for the items that have changed after a revision.
-    Ask { after: u64 },
-    /// Items of the store, complete up to a revision.
+    Ask {
+        after: u64,
+        /// Whether all are asked for, or the configuration alone.
+        all: bool,
+    },
+    /// Items of the store, complete up to a revision; zero if they are only some.
     Items { items: Vec<Copied>, revision: u64 },
 }
 
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -163,7 +163,7 @@
                     let _ = handed.reply.send(how.into());
                 }
             }
-            Frame::Ask { after } => entry.answer_items(host, after),
+            Frame::Ask { after, all } => entry.answer_items(host, after, all),
             Frame::Items { items, revision } => {
                 let items = items.into_iter().map(Item::from).collect();
                 entry.take_changes(Changes { items, revision }, false);
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -4,11 +4,12 @@
 use crate::entry::frame::{Beat, Copied, Frame, Submit};
 use crate::entry::node::{Entry, Environment};
 use crate::entry::state::{Peer, Reply};
+use heathertrack::membership::depth::Depth;
 use heathertrack::membership::links::BRISK;
 use heathertrack::name::Host;
 use heathertrack::pool::Load;
 use heathertrack::pool::job::Outcome;
-use heathertrack_platform::HostRecord;
+use heathertrack_platform::{HostRecord, Item, Metadata, Subject};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -109,8 +110,9 @@
 
     pub(super) fn take_beat(self: &Rc<Self>, host: &Host, beat: &Beat) {
         let now = self.now();
-        let own = self.state.borrow().mirror.revision();
         let mut state = self.state.borrow_mut();
+        let all = state.depth() == Depth::All;
+        let own = if all { state.mirror.revision() } else { state.configured };
         let own_version = state.version();
         let behind = state.store_failed.is_some_and(|failed| now.since(failed) < STORE_LOST);
         let Some(peer) = state.peers.get_mut(host) else { return };
@@ -121,10 +123,10 @@
         peer.handed_cores = 0.0;
         let near = peer.record.data_centre == self.record.data_centre;
         let frames = peer.frames.clone();
-        let newer = beat.version > own_version || (behind && beat.revision > own);
+        let newer = beat.version > own_version || (all && behind && beat.revision > own);
         if newer
             && state.catch_up.asks(behind, near, now)
-            && frames.try_send(Frame::Ask { after: own }).is_err()
+            && frames.try_send(Frame::Ask { after: own, all }).is_err()
         {
             self.journal.link_full(host);
         }
@@ -166,10 +168,13 @@
         }
     }
 
-    pub(super) fn answer_items(&self, host: &Host, after: u64) {
+    pub(super) fn answer_items(&self, host: &Host, after: u64, all: bool) {
         let changes = self.state.borrow().mirror.after(after);
-        let items = changes.items.iter().map(Copied::from).collect();
-        self.send_to(host, Frame::Items { items, revision: changes.revision });
+        let subject = |item: &&Item| self.environment.metadata().subject(&item.key);
+        let wanted = |item: &&Item| all || subject(item) == Subject::Configuration;
+        let items = changes.items.iter().filter(wanted).map(Copied::from).collect();
+        let revision = if all { changes.revision } else { 0 };
+        self.send_to(host, Frame::Items { items, revision });
     }
 
     fn send_to(&self, host: &Host, frame: Frame) {
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use thiserror::Error;
+use tokio::sync::Notify;
 
 /// What surrounds a host: the platform, the network and the clock.
 pub trait Environment: Clone + 'static {
@@ -49,6 +50,8 @@
     pub(super) seeds: RefCell<Vec<SocketAddr>>,
     /// Drawn anew at each start of the process.
     pub(super) incarnation: u64,
+    /// Upstreams are to be followed at once.
+    pub(super) follow_more: Notify,
     /// Lease of this host's record in the store.
     pub(super) lease: Cell<Option<LeaseKey>>,
 }
@@ -91,6 +94,7 @@
             journal,
             seeds: RefCell::new(deployment.seeds.clone()),
             incarnation: rand::random(),
+            follow_more: Notify::new(),
             lease: Cell::new(None),
             deployment,
         });
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -34,6 +34,8 @@
             state.owners_stale = false;
             let candidates = self.candidates(&state);
             let by_centre = state.upstreams_by_centre();
+            let knows = state.knows_upstreams(now);
+            let mut wanted = 0;
             let mut owned = 0;
             let mut dispatches = false;
             let mut all = Vec::new();
@@ -53,6 +55,8 @@
                 let chosen = dispatchers(&centre, upstreams.len(), &hosts);
                 for name in upstreams {
                     let mine = owner(&name, &chosen) == Some(&self.record.name);
+                    wanted += usize::from(mine);
+                    let mine = mine && knows;
                     owned += usize::from(mine);
                     dispatches |= mine && centre == self.record.data_centre;
                     if let Some(record) = state.upstreams.get(&name).cloned() {
@@ -69,6 +73,13 @@
             if state.dispatchers != all {
                 self.journal.owners(owned, state.upstreams.len(), candidates.len());
             }
+            if wanted > 0 && !state.wants_upstreams {
+                self.follow_more.notify_one();
+            }
+            state.wants_upstreams = wanted > 0;
+            if wanted > owned {
+                state.owners_stale = true;
+            }
             state.dispatchers = all;
             state.dispatches = dispatches;
             state.owned = owned;
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -2,6 +2,7 @@
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
 use heathertrack::membership::CatchUp;
+use heathertrack::membership::depth::{Depth, depth};
 use heathertrack::membership::links::Bond;
 use heathertrack::name::{Host, Upstream};
 use heathertrack::pool::job::Outcome;
@@ -14,6 +15,10 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
+/// Time after a failed call to the store for which it counts as lost: longer than calls follow one
+/// another.
+const STORE_LOST: Duration = Duration::from_secs(3);
+
 /// Everything that an entry host believes and has in progress.
 #[derive(Debug)]
 pub struct State {
@@ -44,6 +49,12 @@
     pub last_event: Time,
     /// Which peers are asked for newer items, and when.
     pub catch_up: CatchUp,
+    /// Up to which revision the configuration was followed.
+    pub configured: u64,
+    /// Whether every change of the store is followed, and was up to the last answer.
+    pub is_mirrored: bool,
+    /// This host has upstreams to dispatch to, or would have if it followed their records.
+    pub wants_upstreams: bool,
     /// When the store last answered a question for changes.
     pub store_read: Option<Time>,
     /// When the store last failed, if it has at all.
@@ -134,6 +145,9 @@
             stops_by: None,
             last_event: Time::ZERO,
             catch_up: CatchUp::default(),
+            configured: 0,
+            is_mirrored: false,
+            wants_upstreams: false,
             store_read: None,
             store_failed: None,
             dispatchers: Vec::new(),
@@ -166,6 +180,18 @@
         self.owned > 0
     }
 
+    /// How much of the store this host follows.
+    pub fn depth(&self) -> Depth {
+        depth(self.upstreams.len(), self.wants_upstreams)
+    }
+
+    /// Whether upstreams are known as they are now, or as well as they can be while the store
+    /// doesn't answer.
+    pub fn knows_upstreams(&self, now: Time) -> bool {
+        let lost = self.store_failed.is_some_and(|failed| now.since(failed) < STORE_LOST);
+        self.is_mirrored || lost
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> u64 {
         self.table.as_ref().map_or(0, |table| table.version)
