Read a backlog of changes without pauses, and drop a speed that nobody told

Change: an answer with 400 changes or more is followed by the next call at once. Pool::know had a parameter that was always empty.

--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -2,22 +2,18 @@
 use crate::clock::Time;
 use crate::name;
 use crate::pool::UpstreamKey;
-use crate::pool::speed::Speed;
 use crate::pool::upstream::{Record, Tenure, Upstream};
 
 impl Pool {
-    /// Takes what an upstream says of itself, and whether this dispatcher owns it. `speed` is what
-    /// other dispatchers have learned of it.
-    pub fn know(&mut self, record: Record, owned: bool, speed: Option<f64>, now: Time) {
+    /// Takes what an upstream says of itself, and whether this dispatcher owns it.
+    pub fn know(&mut self, record: Record, owned: bool, now: Time) {
         let known = self.names.get(&record.name).copied();
         if known.is_none() && !owned {
             return;
         }
         let key = known.unwrap_or_else(|| {
             let name = record.name.clone();
-            let mut upstream = Upstream::new(record.clone(), now);
-            upstream.speed = speed.map(Speed::from_factor).unwrap_or_default();
-            let key = self.upstreams.insert(upstream);
+            let key = self.upstreams.insert(Upstream::new(record.clone(), now));
             self.names.insert(name, key);
             key
         });
--- a/crates/heathertrack/src/pool/speed.rs
+++ b/crates/heathertrack/src/pool/speed.rs
@@ -12,11 +12,6 @@
 pub(super) struct Speed(f64);
 
 impl Speed {
-    /// A speed learned elsewhere, as a factor.
-    pub fn from_factor(factor: f64) -> Self {
-        Speed(factor.max(1e-3).ln().clamp(-WIDEST.ln(), WIDEST.ln()))
-    }
-
     /// The speed as a factor.
     pub fn factor(self) -> f64 {
         self.0.exp()
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -190,7 +190,7 @@
 
     fn tell(&mut self, index: usize) {
         let record = self.records[index].clone();
-        self.pool.know(record, self.owned[index], None, self.time());
+        self.pool.know(record, self.owned[index], self.time());
     }
 
     fn submit(&mut self, job: u8) {
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -51,7 +51,7 @@
 fn pool(names: &[&str]) -> Pool {
     let mut pool = Pool::new(Options::default());
     for name in names {
-        pool.know(record(name), true, None, at(90));
+        pool.know(record(name), true, at(90));
     }
     for key in looks(&pool.take_effects()) {
         pool.listed(key, &listing(Vec::new(), Vec::new()), at(90), at(91));
@@ -179,7 +179,7 @@
     pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
     let (_, run, _, _) = starts(&pool.take_effects()).remove(0);
     pool.started(run, StartAnswer::NoRoom, Some(5_020), at(111));
-    pool.know(Record { draining: true, ..record("u1") }, true, None, at(112));
+    pool.know(Record { draining: true, ..record("u1") }, true, at(112));
 
     pool.tick(at(1_990));
 
@@ -250,7 +250,7 @@
 #[test]
 fn runs_of_an_unknown_dispatcher_are_waited_for() {
     let mut pool = Pool::new(Options::default());
-    pool.know(record("u1"), true, None, at(0));
+    pool.know(record("u1"), true, at(0));
     let upstream = looks(&pool.take_effects())[0];
     let task = Task { job: Id::new("foreign"), occurrence: 0, step: 0, index: 0 };
     let row = || Row { task: task.clone(), number: 1, percent: 1 };
@@ -338,7 +338,7 @@
     let (upstream, run, task, number) = starts(&pool.take_effects()).remove(0);
     pool.started(run, StartAnswer::Running, Some(5_001), at(101));
     let ends = vec![end(1, &task, number, Ended::Failed)];
-    pool.know(Record { draining: true, ..record("u1") }, true, None, at(102));
+    pool.know(Record { draining: true, ..record("u1") }, true, at(102));
     pool.listed(upstream, &listing(Vec::new(), ends), at(102), at(110));
     pool.take_effects();
 
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -20,6 +20,9 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause: with a call it stays within the time in which a configuration is in force.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Changes in one answer from which on the next call follows at once: the store tells only so many at
+/// a time (pages of it hold 500 items), and a host that pauses would fall behind.
+const MANY: usize = 400;
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
 /// Time after which this host's record ends unless it is renewed.
@@ -65,7 +68,11 @@
                 if reading == Reading::All {
                     read_all = Some(now);
                 }
+                let is_behind = reading == Reading::Changes && changes.items.len() >= MANY;
                 entry.take_reading(reading, changes, now);
+                if is_behind {
+                    continue;
+                }
                 let hosts = entry.state.borrow().hosts.len() as u32;
                 let pause = (PAUSE_EACH * hosts).clamp(PAUSE, LONGEST_PAUSE);
                 // Whether the pause ends by itself or early, the store is asked again.
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -60,7 +60,7 @@
                     owned += usize::from(mine);
                     dispatches |= mine && centre == self.record.data_centre;
                     if let Some(record) = state.upstreams.get(&name).cloned() {
-                        state.pool.know(record, mine, None, now);
+                        state.pool.know(record, mine, now);
                     }
                 }
                 for host in chosen {
