Choose the hosts of a data centre in a function of its own

Cause: update_owners had grown to seventy lines; two constants of the store's loss had one name. Change: hosts_for; NEXT_READING. Without a link no host has jobs of another, so no calls are searched.

--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -40,18 +40,7 @@
             let mut dispatches = false;
             let mut all = Vec::new();
             for (centre, upstreams) in by_centre {
-                let near = |candidate: &&Candidate| candidate.data_centre == centre;
-                let mut hosts: Vec<Candidate> = candidates.iter().filter(near).cloned().collect();
-                if hosts.is_empty() {
-                    let since = *state.deserted.entry(centre.clone()).or_insert(now);
-                    if now.since(since) < DESERTED {
-                        state.owners_stale = true;
-                    } else {
-                        hosts = successors(&candidates);
-                    }
-                } else {
-                    state.deserted.remove(&centre);
-                }
+                let hosts = state.hosts_for(&centre, &candidates, now);
                 let chosen = dispatchers(&centre, upstreams.len(), &hosts);
                 for name in upstreams {
                     let mine = owner(&name, &chosen) == Some(&self.record.name);
@@ -77,9 +66,8 @@
                 self.follow_more.notify_one();
             }
             state.wants_upstreams = wanted > 0;
-            if wanted > owned {
-                state.owners_stale = true;
-            }
+            // Those that are wanted are taken as soon as their records have been read.
+            state.owners_stale |= wanted > owned;
             state.dispatchers = all;
             state.dispatches = dispatches;
             state.owned = owned;
@@ -142,6 +130,28 @@
         })
     }
 
+    /// The hosts among which the dispatchers of a data centre are chosen: its own, or, once it has
+    /// been deserted for a while, others.
+    fn hosts_for(
+        &mut self,
+        centre: &DataCentre,
+        candidates: &[Candidate],
+        now: Time,
+    ) -> Vec<Candidate> {
+        let near = |candidate: &&Candidate| candidate.data_centre == *centre;
+        let hosts: Vec<Candidate> = candidates.iter().filter(near).cloned().collect();
+        if !hosts.is_empty() {
+            self.deserted.remove(centre);
+            return hosts;
+        }
+        let since = *self.deserted.entry(centre.clone()).or_insert(now);
+        if now.since(since) < DESERTED {
+            self.owners_stale = true;
+            return hosts;
+        }
+        successors(candidates)
+    }
+
     fn upstreams_by_centre(&self) -> BTreeMap<DataCentre, Vec<Upstream>> {
         let mut centres: BTreeMap<DataCentre, Vec<Upstream>> = BTreeMap::new();
         for (name, record) in &self.upstreams {
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -15,9 +15,9 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-/// Time after a failed call to the store for which it counts as lost: longer than calls follow one
-/// another.
-const STORE_LOST: Duration = Duration::from_secs(3);
+/// Time after a failed reading of the store within which the next has succeeded or failed: the
+/// longest wait of a call, its timeout, and the pause before it.
+const NEXT_READING: Duration = Duration::from_secs(3);
 
 /// Everything that an entry host believes and has in progress.
 #[derive(Debug)]
@@ -162,10 +162,11 @@
     /// What this host has to do with another.
     pub fn bond(&self, own: &HostRecord, other: &HostRecord, seeds: &[SocketAddr]) -> Bond {
         let peer = self.peers.get(&other.name);
+        let has_jobs = |peer: &Peer| !peer.jobs.is_empty() || self.has_call(&other.name);
         Bond {
             near: own.data_centre == other.data_centre,
             dispatches: self.is_dispatcher() || peer.is_some_and(Peer::is_dispatcher),
-            jobs: peer.is_some_and(|peer| !peer.jobs.is_empty()) || self.has_call(&other.name),
+            jobs: peer.is_some_and(has_jobs),
             seed: seeds.contains(&other.peers),
         }
     }
@@ -188,8 +189,8 @@
     /// Whether upstreams are known as they are now, or as well as they can be while the store
     /// doesn't answer.
     pub fn knows_upstreams(&self, now: Time) -> bool {
-        let lost = self.store_failed.is_some_and(|failed| now.since(failed) < STORE_LOST);
-        self.is_mirrored || lost
+        let fails = self.store_failed.is_some_and(|failed| now.since(failed) < NEXT_READING);
+        self.is_mirrored || fails
     }
 
     /// Version of the configuration in force.
