Accept connections in one place, and derive what was stored twice

Cause: read of the whole change. Four loops accepted connections alike (callers, links, readiness, metrics); a peer kept whether its link is the preferred one beside who dialled, of which it follows; the host kept a copy of the pool's has_rivals to notice changes, and each tick marked all runs again; a beat was made of zeros that with_load then filled. Ruled out: the HTTP servers of testkit and stand_in and the task parsers of platform and stand_in, which speak different protocols on purpose or belong to both sides of one. Change: net::serve_all; is_preferred from dialled; Pool::set_rivals tells whether it has changed and marks runs only then, as later runs are marked at their start; beats are made from the load. Behaviour as before; metrics connections now have no delay set, as all others.

--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -94,12 +94,15 @@
     }
 
     /// Takes whether another host may dispatch to the same upstreams: one without a link, which may
-    /// be cut off and go on.
-    pub fn set_rivals(&mut self, has_rivals: bool) {
+    /// be cut off and go on. Gives whether that has changed.
+    pub fn set_rivals(&mut self, has_rivals: bool) -> bool {
+        let has_changed = self.has_rivals != has_rivals;
         self.has_rivals = has_rivals;
-        if has_rivals {
+        if has_changed && has_rivals {
+            // Runs that start from here on are shared from their start.
             self.runs.values_mut().for_each(|run| run.shared = true);
         }
+        has_changed
     }
 
     /// Gives all jobs up.
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -2,7 +2,7 @@
 
 use super::journal::ms;
 use super::metrics;
-use super::net::{ACCEPT_PAUSE, Net};
+use super::net::{Net, serve_all};
 use super::node::{Entry, Environment};
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
@@ -21,8 +21,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// How long a caller is taken to wait whose request and route say nothing.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -36,17 +35,9 @@
 
 /// Serves callers.
 pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
-    let entry = entry.clone();
-    spawn_local(async move {
-        loop {
-            match entry.environment.net().accept(&listener).await {
-                Ok(stream) => {
-                    spawn_local(serve(entry.clone(), stream));
-                }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
-            }
-        }
-    });
+    let accepting = entry.clone();
+    let serve = move |stream| serve(accepting.clone(), stream);
+    serve_all(entry.environment.net(), listener, serve);
 }
 
 async fn serve<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream) {
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -167,16 +167,6 @@
         }
     }
 
-    /// Puts a load in.
-    pub fn with_load(mut self, load: &Load) -> Self {
-        self.cores = load.cores as f32;
-        self.busy = load.busy as f32;
-        self.waiting = load.waiting as f32;
-        self.waiting_jobs = load.waiting_jobs;
-        self.places = load.places;
-        self
-    }
-
     /// Whether another differs in what peers act upon at once: all but the revision, which rises
     /// with every entry that anyone renews.
     pub fn has_news(&self, other: &Beat) -> bool {
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -6,7 +6,7 @@
 
 use super::boot_clock::Clock;
 use super::frame::{Envelope, Frame, Hello};
-use super::net::{ACCEPT_PAUSE, Net};
+use super::net::{Net, serve_all};
 use super::node::{Entry, Environment};
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Time that a peer is given to read a message, and to say who it is.
@@ -31,16 +31,8 @@
 /// Takes peers' connections, and dials hosts without a link.
 pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
     let accepting = entry.clone();
-    spawn_local(async move {
-        loop {
-            match accepting.environment.net().accept(&listener).await {
-                Ok(stream) => {
-                    spawn_local(run(accepting.clone(), stream, false));
-                }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
-            }
-        }
-    });
+    let serve = move |stream| run(accepting.clone(), stream, false);
+    serve_all(entry.environment.net(), listener, serve);
     spawn_local(dial::dial(entry.clone()));
     spawn_local(beat::beat(entry.clone()));
 }
--- a/crates/heathertrackd/src/entry/link/beat.rs
+++ b/crates/heathertrackd/src/entry/link/beat.rs
@@ -23,19 +23,20 @@
     /// What this host tells of itself.
     pub(super) fn beat(&self) -> Beat {
         let state = self.state.borrow();
-        let beat = Beat {
+        let load = state.pool.load(self.environment.clock().now());
+        Beat {
             leaving: state.leaving,
             dispatches: state.dispatches,
             revision: state.mirror.revision(),
             version: state.version(),
-            cores: 0.0,
-            busy: 0.0,
-            waiting: 0.0,
-            waiting_jobs: 0,
-            places: 0,
+            cores: load.cores as f32,
+            busy: load.busy as f32,
+            waiting: load.waiting as f32,
+            waiting_jobs: load.waiting_jobs,
+            places: load.places,
+            // Each link has its own.
             period_us: 0,
-        };
-        beat.with_load(&state.pool.load(self.environment.clock().now()))
+        }
     }
 
     /// Tells all peers what this host believes of itself.
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -32,9 +32,11 @@
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
         let host = record.name.clone();
-        let preferred = dialled == (self.record.name < host);
-        let is_better =
-            |peer: &Peer| peer.incarnation == incarnation && peer.preferred && !preferred;
+        // Of two links that hosts dialled to each other both keep that of the smaller name.
+        let is_preferred = |dialled: bool| dialled == (self.record.name < host);
+        let is_better = |peer: &Peer| {
+            peer.incarnation == incarnation && is_preferred(peer.dialled) && !is_preferred(dialled)
+        };
         if self.state.borrow().peers.get(&host).is_some_and(is_better) {
             return None;
         }
@@ -52,7 +54,6 @@
             record: record.clone(),
             frames,
             incarnation,
-            preferred,
             dialled,
             leaving: false,
             dispatches: false,
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -1,7 +1,7 @@
 //! What an entry host counts, and where it is read. docs/OPERATIONS.md lists every name.
 
 use super::boot_clock::Clock;
-use super::net::ACCEPT_PAUSE;
+use super::net::{Tcp, serve_all};
 use super::node::{Entry, Environment};
 use crate::metrics as recorder;
 use heathertrack::pool::{Ended, StartAnswer};
@@ -15,9 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::net::{TcpListener, TcpStream};
 
 /// A job was answered.
 pub fn answered(class: &str, data_centre: &str, outcome: &'static str, age: Duration) {
@@ -70,31 +68,24 @@
     counter!("heathertrack_log_lines_left_out_total", "event" => event).increment(count);
 }
 
+async fn render<E: Environment>(entry: Rc<Entry<E>>, stream: TcpStream) {
+    let service = service_fn(|_| {
+        entry.set_gauges();
+        let response = Response::new(recorder::render());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // Whoever reads the metrics comes again.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
 impl<E: Environment> Entry<E> {
     /// Serves the metrics as text at an address, by `GET /metrics`.
     pub async fn serve_metrics(self: &Rc<Self>, address: SocketAddr) -> io::Result<()> {
         recorder::install();
         let listener = TcpListener::bind(address).await?;
         let entry = self.clone();
-        spawn_local(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
-                let entry = entry.clone();
-                spawn_local(async move {
-                    let service = service_fn(|_| {
-                        entry.set_gauges();
-                        let response = Response::new(recorder::render());
-                        async move { Ok::<_, Infallible>(response) }
-                    });
-                    // Whoever reads the metrics comes again.
-                    let stream = TokioIo::new(stream);
-                    let _ = http1::Builder::new().serve_connection(stream, service).await;
-                });
-            }
-        });
+        // The metrics are read over TCP, whatever the host's other connections are.
+        serve_all(&Tcp, listener, move |stream| render(entry.clone(), stream));
         Ok(())
     }
 
--- a/crates/heathertrackd/src/entry/net.rs
+++ b/crates/heathertrackd/src/entry/net.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 /// Pause after a connection could not be accepted, as descriptors may have run out.
-pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// How a host's connections are made.
 pub trait Net: Clone + 'static {
@@ -24,6 +26,25 @@
     fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
+/// Serves all connections that come in, each in a task of its own.
+pub(super) fn serve_all<N: Net, S: Future<Output = ()> + 'static>(
+    net: &N,
+    listener: N::Listener,
+    serve: impl Fn(N::Stream) -> S + 'static,
+) {
+    let net = net.clone();
+    spawn_local(async move {
+        loop {
+            match net.accept(&listener).await {
+                Ok(stream) => {
+                    spawn_local(serve(stream));
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    });
+}
+
 /// TCP.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tcp;
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -80,11 +80,9 @@
     pub(super) fn note_rivals(&self) {
         let mut state = self.state.borrow_mut();
         let has_rivals = state.owned > 0 && !state.is_linked(&self.record, &self.seeds.borrow());
-        if state.has_rivals != has_rivals {
-            state.has_rivals = has_rivals;
+        if state.pool.set_rivals(has_rivals) {
             self.journal.rivals(has_rivals, state.hosts.len(), state.peers.len());
         }
-        state.pool.set_rivals(has_rivals);
     }
 
     fn candidates(&self, state: &State) -> Vec<Candidate> {
--- a/crates/heathertrackd/src/entry/ready.rs
+++ b/crates/heathertrackd/src/entry/ready.rs
@@ -1,6 +1,6 @@
 //! Tells the balancer whether this host takes callers.
 
-use super::net::{ACCEPT_PAUSE, Net};
+use super::net::{Net, serve_all};
 use super::node::{Entry, Environment};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -8,31 +8,23 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 /// Answers the balancer's question.
 pub fn spawn<E: Environment>(entry: &Rc<Entry<E>>, listener: <E::Net as Net>::Listener) {
-    let entry = entry.clone();
-    spawn_local(async move {
-        loop {
-            let Ok(stream) = entry.environment.net().accept(&listener).await else {
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            let entry = entry.clone();
-            spawn_local(async move {
-                let service = service_fn(|_| {
-                    let status = entry.readiness();
-                    let mut response = Response::new(String::new());
-                    *response.status_mut() = status;
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                // The balancer asks again on a new connection.
-                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-            });
-        }
+    let asked = entry.clone();
+    let serve = move |stream| answer(asked.clone(), stream);
+    serve_all(entry.environment.net(), listener, serve);
+}
+
+async fn answer<E: Environment>(entry: Rc<Entry<E>>, stream: <E::Net as Net>::Stream) {
+    let service = service_fn(|_| {
+        let status = entry.readiness();
+        let mut response = Response::new(String::new());
+        *response.status_mut() = status;
+        async move { Ok::<_, Infallible>(response) }
     });
+    // The balancer asks again on a new connection.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
 impl<E: Environment> Entry<E> {
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -65,8 +65,6 @@
     pub dispatches: bool,
     /// How many upstreams this host owns, of whichever data centre.
     pub owned: usize,
-    /// A host without a link could dispatch to the same upstreams.
-    pub has_rivals: bool,
     /// The owners of upstreams may have changed.
     pub owners_stale: bool,
     /// When a data centre was last seen without a live host.
@@ -82,8 +80,6 @@
     pub frames: mpsc::Sender<Frame>,
     /// Which process of the host it is.
     pub incarnation: u64,
-    /// Whether the link is the one that the host with the smaller name dialled.
-    pub preferred: bool,
     /// Whether this host dialled.
     pub dialled: bool,
     pub leaving: bool,
@@ -153,7 +149,6 @@
             dispatchers: Vec::new(),
             dispatches: false,
             owned: 0,
-            has_rivals: false,
             owners_stale: true,
             deserted: BTreeMap::new(),
         }
