Log runs that are lost with the process of their upstream

Cause: the hypotheses about crashing tasks can't be told apart: a run whose lease has expired looks the same whether its upstream crashed, was partitioned or was suspended, and runs of ended jobs aren't logged. Change: the event runs_lost names the upstream, what is known of its process, and all tasks; the metric heathertrack_runs_lost_total counts them by cause. The pool learns whether a poll was refused. No decision uses it.

--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -1,4 +1,4 @@
-use super::{JobKey, Load, RunKey, Task, UpstreamKey};
+use super::{JobKey, Load, Loss, RunKey, Task, UpstreamKey};
 use crate::pool::job::{Id, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,6 +129,13 @@
         /// Time since its start was ordered.
         age: Duration,
     },
+    /// Runs were lost with the process of their upstream.
+    RunsLost {
+        /// The runs, and what is known of the process.
+        loss: Loss,
+        /// Time since the upstream's last answer.
+        age: Duration,
+    },
     /// The assumed state of an upstream changed.
     Upstream {
         /// The upstream.
--- /dev/null
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -0,0 +1,61 @@
+use super::Task;
+use crate::name;
+
+/// Why a poll of an upstream has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The connection was refused: no process listens at the address, or a network path refuses.
+    Refused,
+    /// Anything else, such as a timeout or a broken connection.
+    NoAnswer,
+}
+
+/// What is known of an upstream's process when runs are lost with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LossCause {
+    /// Its record said that it was leaving.
+    Left,
+    /// Nothing came from it: it has crashed, is suspended or partitioned.
+    Unresponsive,
+    /// It refused connections: it has crashed, or a network path refuses.
+    Refused,
+    /// Its record was removed from the store, as it no longer renewed it.
+    RecordRemoved,
+    /// Another process answered in its place.
+    Replaced,
+}
+
+impl LossCause {
+    /// All causes, in declaration order.
+    pub const ALL: [LossCause; 5] = [
+        LossCause::Left,
+        LossCause::Unresponsive,
+        LossCause::Refused,
+        LossCause::RecordRemoved,
+        LossCause::Replaced,
+    ];
+
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            LossCause::Left => "left",
+            LossCause::Unresponsive => "unresponsive",
+            LossCause::Refused => "refused",
+            LossCause::RecordRemoved => "record_removed",
+            LossCause::Replaced => "replaced",
+        }
+    }
+}
+
+/// Runs that were lost together, with the process of their upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loss {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Unix time of the start of its process in milliseconds, if known.
+    pub started_ms: Option<u64>,
+    /// What is known of its process.
+    pub cause: LossCause,
+    /// The tasks of these runs, also those of jobs that have ended.
+    pub tasks: Vec<Task>,
+}
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -12,7 +12,8 @@
 use super::run::{Run, RunState};
 use super::upstream::Upstream;
 use super::{
-    Decision, Effect, JobKey, Load, Options, RunEnd, RunKey, Task, UpstreamKey, admission,
+    Decision, Effect, JobKey, Load, LossCause, Options, RunEnd, RunKey, Task, UpstreamKey,
+    admission,
 };
 use crate::clock::Time;
 use crate::name;
@@ -34,6 +35,9 @@
     durations: Durations,
     /// Number of ended runs for each variant of [`RunEnd`], in declaration order.
     end_counts: [u64; 5],
+    /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
+    /// order.
+    loss_counts: [u64; LossCause::ALL.len()],
     /// Until this instant, polls use [`Options::short_poll_wait`].
     short_polls_until: Time,
     /// Upstreams that a live dispatcher has handed over before they were assigned to this one, with
@@ -236,6 +240,11 @@
         self.end_counts[how as usize]
     }
 
+    /// Returns how many runs were lost with the process of their upstream for this cause.
+    pub fn lost_runs(&self, cause: LossCause) -> u64 {
+        self.loss_counts[cause as usize]
+    }
+
     /// Returns the time until the first lease of an upstream with runs expires; a minute if there
     /// are no runs.
     pub fn min_remaining_lease(&self, now: Time) -> Duration {
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -3,7 +3,9 @@
 use crate::clock::Time;
 use crate::pool::run::RunState;
 use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR};
-use crate::pool::{Decision, Effect, EndedRun, Listing, RunEnd, RunKey, UpstreamKey};
+use crate::pool::{
+    Decision, Effect, EndedRun, Listing, LossCause, PollFailure, RunEnd, RunKey, UpstreamKey,
+};
 use std::time::Duration;
 
 /// Time for which the end of an unknown run, one that this dispatcher doesn't follow, is left
@@ -125,8 +127,14 @@
                     .and_then(|run| run.absence_proves_end_at)
                     .is_some_and(|at| at <= sent)
         };
-        let over: Vec<RunKey> = upstream.runs.iter().copied().filter(is_over).collect();
-        for run in over {
+        let started_ms = upstream.started_ms;
+        let of_same_process = |run: &RunKey| {
+            self.runs.get(*run).is_some_and(|run| run.process_started_ms == started_ms)
+        };
+        let over = upstream.runs.iter().copied().filter(is_over);
+        let (absent, lost): (Vec<RunKey>, Vec<RunKey>) = over.partition(of_same_process);
+        self.lose_runs(key, lost, LossCause::Replaced, RunEnd::Disappeared, now);
+        for run in absent {
             self.end_run(run, RunEnd::Disappeared, now);
         }
     }
@@ -152,8 +160,9 @@
 
     /// Handles a poll without an answer. A refused connection is treated like a timeout: a network
     /// partition can refuse connections too, while runs behind it live until their lease expires.
-    pub fn on_poll_failed(&mut self, key: UpstreamKey, now: Time) {
+    pub fn on_poll_failed(&mut self, key: UpstreamKey, failure: PollFailure, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.refuses_connections = failure == PollFailure::Refused;
         upstream.polls_in_flight = upstream.polls_in_flight.saturating_sub(1);
         upstream.failed_polls += 1;
         self.mark_unresponsive(key, now);
@@ -173,9 +182,9 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.clock = None;
         upstream.lease_expiry = now;
-        for run in upstream.runs.clone() {
-            self.end_run(run, RunEnd::Disappeared, now);
-        }
+        let runs = upstream.runs.clone();
+        let cause = if upstream.record.draining { LossCause::Left } else { LossCause::Replaced };
+        self.lose_runs(key, runs, cause, RunEnd::Disappeared, now);
     }
 
     /// Marks an upstream as unresponsive after an order or a poll got no answer, and shortens the
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -3,7 +3,9 @@
 use crate::pool::job::Outcome;
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
-use crate::pool::{Decision, Effect, JobKey, RunEnd, RunKey, StartAnswer};
+use crate::pool::{
+    Decision, Effect, JobKey, Loss, LossCause, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
+};
 use std::time::Duration;
 
 /// Pause of starts on an upstream that refused one for want of capacity: runs of another dispatcher
@@ -182,6 +184,31 @@
         }
     }
 
+    /// Ends runs that were lost with the process of their upstream.
+    pub(super) fn lose_runs(
+        &mut self,
+        key: UpstreamKey,
+        runs: Vec<RunKey>,
+        cause: LossCause,
+        how: RunEnd,
+        now: Time,
+    ) {
+        let tasks: Vec<Task> =
+            runs.iter().filter_map(|run| Some(self.runs.get(*run)?.task.clone())).collect();
+        self.loss_counts[cause as usize] += tasks.len() as u64;
+        if let Some(upstream) = self.upstreams.get(key)
+            && !tasks.is_empty()
+        {
+            let age = now.since(upstream.last_answer);
+            let (upstream, started_ms) = (upstream.record.name.clone(), upstream.started_ms);
+            let loss = Loss { upstream, started_ms, cause, tasks };
+            self.effects.push(Effect::Log(Decision::RunsLost { loss, age }));
+        }
+        for run in runs {
+            self.end_run(run, how, now);
+        }
+    }
+
     /// Updates the health and the speed of the upstream from the end of a run.
     fn learn_from_end(&mut self, run: &Run, how: RunEnd, now: Time) {
         let age = now.since(run.ordered_at);
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -148,6 +148,7 @@
             number,
             job: Some(key),
             upstream: upstream_key,
+            process_started_ms: upstream.started_ms,
             needs,
             state: RunState::Starting,
             ordered_at: now,
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -1,8 +1,9 @@
 use super::Pool;
 use crate::clock::Time;
 use crate::pool::run::{Run, RunState};
-use crate::pool::upstream::Ownership;
-use crate::pool::{JobKey, RunEnd, RunKey, UpstreamKey};
+use crate::pool::upstream::{Ownership, Upstream};
+use crate::pool::{JobKey, LossCause, RunEnd, RunKey, UpstreamKey};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Multiple of its expected duration after which a run can count as stalled: estimates are off by
@@ -57,9 +58,13 @@
             now > upstream.lease_expiry
                 && (!run.competitor_may_renew || upstream.missing_since.is_some())
         };
-        let keys: Vec<RunKey> = self.runs.iter().filter(is_expired).map(|(key, _)| key).collect();
-        for key in keys {
-            self.end_run(key, RunEnd::Expired, now);
+        let mut expired: BTreeMap<UpstreamKey, Vec<RunKey>> = BTreeMap::new();
+        for (key, run) in self.runs.iter().filter(is_expired) {
+            expired.entry(run.upstream).or_default().push(key);
+        }
+        for (upstream, runs) in expired {
+            let cause = self.upstreams.get(upstream).map_or(LossCause::Left, Upstream::loss_cause);
+            self.lose_runs(upstream, runs, cause, RunEnd::Expired, now);
         }
     }
 
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -50,6 +50,9 @@
     /// `None` once the job has ended.
     pub job: Option<JobKey>,
     pub upstream: UpstreamKey,
+    /// Unix time of the start of the upstream's process in milliseconds, as known when the run was
+    /// ordered.
+    pub process_started_ms: Option<u64>,
     pub needs: Needs,
     pub state: RunState,
     /// When its start was ordered.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -3,7 +3,7 @@
 use super::health::Health;
 use super::job::Needs;
 use super::speed::Speed;
-use super::{RunKey, Task};
+use super::{LossCause, RunKey, Task};
 use crate::clock::Time;
 use crate::name;
 use std::collections::BTreeMap;
@@ -106,6 +106,8 @@
     pub failed_polls: u32,
     /// Whether an order or a poll has failed since the last answer.
     pub unresponsive: bool,
+    /// Whether the last poll was refused a connection.
+    pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
     pub no_starts_until: Time,
     /// Whether the last list contained ends, which have to be acknowledged.
@@ -136,6 +138,7 @@
             lease_expiry: now,
             failed_polls: 0,
             unresponsive: false,
+            refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
             last_answer: now,
@@ -157,9 +160,24 @@
         self.clock = Some(ClockSample { clock_ms, at: now });
         self.last_answer = now;
         self.unresponsive = false;
+        self.refuses_connections = false;
         self.failed_polls = 0;
     }
 
+    /// Returns what is known of the process with which the runs here were lost, if it has not been
+    /// replaced.
+    pub fn loss_cause(&self) -> LossCause {
+        if self.record.draining {
+            LossCause::Left
+        } else if self.missing_since.is_some() {
+            LossCause::RecordRemoved
+        } else if self.refuses_connections {
+            LossCause::Refused
+        } else {
+            LossCause::Unresponsive
+        }
+    }
+
     /// Records a renewal of the lease and returns its end on the upstream's clock, in milliseconds;
     /// `None` without a reading of that clock.
     pub fn renew_lease(&mut self, lease: Duration, now: Time) -> Option<u64> {
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -5,7 +5,8 @@
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, JobKey, Listing, Options, Pool, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
+    Effect, JobKey, Listing, Options, PollFailure, Pool, RunEnd, RunKey, StartAnswer, Task,
+    UpstreamKey,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -491,7 +492,7 @@
                 Answer::Listing(listing) => {
                     self.pool.on_poll_answer(*upstream, &listing, now, now);
                 }
-                _ => self.pool.on_poll_failed(*upstream, now),
+                _ => self.pool.on_poll_failed(*upstream, PollFailure::NoAnswer, now),
             },
             Effect::Finish { .. } | Effect::Log(_) => {}
         }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -5,8 +5,8 @@
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, EndedRun, Listing, Options, Pool, RunEnd, RunKey, RunningRun, StartAnswer, Task,
-    UpstreamKey,
+    Decision, Effect, EndedRun, Listing, LossCause, Options, PollFailure, Pool, RunEnd, RunKey,
+    RunningRun, StartAnswer, Task, UpstreamKey,
 };
 use std::time::Duration;
 
@@ -269,7 +269,7 @@
     let (mut pool, (upstream, ..)) = running(&["u1", "u2"]);
     // Every poll fails, so that none renews the lease.
     for ms in [200, 300, 400] {
-        pool.on_poll_failed(upstream, at(ms));
+        pool.on_poll_failed(upstream, PollFailure::Refused, at(ms));
     }
     pool.take_effects();
 
@@ -537,7 +537,7 @@
 
     // Every connection is refused until the lease granted with the start expires.
     for ms in (110..800).step_by(30) {
-        pool.on_poll_failed(upstream, at(ms));
+        pool.on_poll_failed(upstream, PollFailure::Refused, at(ms));
         pool.tick(at(ms));
         assert!(starts(&pool.take_effects()).is_empty(), "{task} may still run at {ms} ms");
     }
@@ -566,10 +566,37 @@
 
     // A host that may dispatch to the same upstreams is partitioned, then reachable again.
     pool.set_has_competitors(true);
-    pool.on_poll_failed(upstream, at(200));
+    pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(200));
     pool.set_has_competitors(false);
     // The lease would have expired at 815 ms at the latest.
     pool.tick(at(1_000));
 
     assert!(starts(&pool.take_effects()).is_empty(), "{task} may still run");
 }
+
+/// Returns the causes of the losses that were logged, with the number of their runs.
+fn losses(effects: &[Effect]) -> Vec<(LossCause, usize)> {
+    let loss = |effect: &Effect| match effect {
+        Effect::Log(Decision::RunsLost { loss, .. }) => Some((loss.cause, loss.tasks.len())),
+        _ => None,
+    };
+    effects.iter().filter_map(loss).collect()
+}
+
+#[test]
+fn runs_lost_with_their_upstream_are_logged_together_with_what_is_known_of_it() {
+    for (failure, cause) in [
+        (PollFailure::Refused, LossCause::Refused),
+        (PollFailure::NoAnswer, LossCause::Unresponsive),
+    ] {
+        let mut pool = pool(&["u1"]);
+        pool.submit(job("j", 2, TASK_CPU), at(100));
+        let upstream = starts(&pool.take_effects())[0].0;
+        pool.on_poll_failed(upstream, failure, at(110));
+
+        pool.tick(at(830));
+
+        assert_eq!(losses(&pool.take_effects()), [(cause, 2)]);
+        assert_eq!(pool.lost_runs(cause), 2);
+    }
+}
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -7,7 +7,7 @@
 use super::state::Reply;
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
-use heathertrack::pool::{Decision, Effect, JobKey, Pool, StartAnswer, UpstreamKey};
+use heathertrack::pool::{Decision, Effect, JobKey, PollFailure, Pool, StartAnswer, UpstreamKey};
 use heathertrack_platform::{CallError, Poll, StartOrder, UpstreamClient};
 use std::rc::Rc;
 use std::time::Duration;
@@ -133,8 +133,12 @@
                     if matches!(error, CallError::Replaced(_)) {
                         entry.with_pool(|pool, now| pool.on_process_replaced(upstream, now));
                     }
+                    let failure = match error {
+                        CallError::Refused(_) => PollFailure::Refused,
+                        _ => PollFailure::NoAnswer,
+                    };
                     sleep(RETRY_PAUSE).await;
-                    entry.with_pool(|pool, now| pool.on_poll_failed(upstream, now));
+                    entry.with_pool(|pool, now| pool.on_poll_failed(upstream, failure, now));
                 }
             }
         });
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -9,7 +9,7 @@
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::Id;
-use heathertrack::pool::{Decision, Load, StartAnswer};
+use heathertrack::pool::{Decision, Load, StartAnswer, Task};
 use heathertrack_platform::{CallError, HostSettings, StartOrder};
 use serde_json::{Value, json};
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -314,6 +314,14 @@
                 json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
                     "upstream": upstream.as_str(), "how": how, "age_ms": ms(*age) }),
             ),
+            Decision::RunsLost { loss, age } => {
+                let tasks: Vec<String> = loss.tasks.iter().map(Task::to_string).collect();
+                self.write(
+                    "runs_lost",
+                    json!({ "upstream": loss.upstream.as_str(), "started_ms": loss.started_ms,
+                        "cause": loss.cause.name(), "tasks": tasks, "age_ms": ms(*age) }),
+                );
+            }
             Decision::Upstream { upstream, state, age } => self.write(
                 "upstream_changed",
                 json!({ "upstream": upstream.as_str(), "state": state, "age_ms": ms(*age) }),
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -6,7 +6,7 @@
 use super::node::{EntryHost, Environment};
 use super::transport::{TcpTransport, serve_all};
 use crate::metrics as recorder;
-use heathertrack::pool::{RunEnd, StartAnswer};
+use heathertrack::pool::{LossCause, RunEnd, StartAnswer};
 use hyper::Response;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -116,5 +116,9 @@
             let count = state.pool.ended_runs(end);
             counter!("heathertrack_runs_ended_total", "end" => end.name()).absolute(count);
         }
+        for cause in LossCause::ALL {
+            let count = state.pool.lost_runs(cause);
+            counter!("heathertrack_runs_lost_total", "cause" => cause.name()).absolute(count);
+        }
     }
 }
