--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -600,3 +600,35 @@
         assert_eq!(pool.lost_runs(cause), 2);
     }
 }
+
+/// Crashes an upstream at `ms`: it refuses connections until its lease has expired, 720 ms later.
+fn crash(pool: &mut Pool, upstream: UpstreamKey, ms: u64) {
+    pool.on_poll_failed(upstream, PollFailure::Refused, at(ms));
+    pool.tick(at(ms + 720));
+}
+
+/// Returns a job of one task with a deadline far away.
+fn patient_job(id: &str) -> Request {
+    let objective = Duration::from_secs(5);
+    Request { objective, deadline: at(30_000), ..job(id, 1, TASK_CPU) }
+}
+
+#[test]
+fn a_task_that_crashes_its_upstreams_fails_its_job_instead_of_crashing_more() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+
+    let mut crashed = 0;
+    let mut ended = None;
+    for round in 0..4 {
+        let effects = pool.take_effects();
+        ended = ended.or(outcome(&effects));
+        for (upstream, ..) in starts(&effects) {
+            crashed += 1;
+            crash(&mut pool, upstream, 110 + round * 800);
+        }
+    }
+
+    assert_eq!(crashed, 2);
+    assert_eq!(ended, Some(Outcome::Failed));
+}
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -50,6 +50,9 @@
     Burst { factor: f64, span: Duration },
     /// A share of the callers disconnects before the answer, instead of the usual share.
     Leaving { share: f64, span: Duration },
+    /// A share of the jobs has a task that crashes each upstream that starts it. The upstream is
+    /// back after some seconds.
+    Deadly { share: f64, span: Duration },
 }
 
 /// A fault and the time at which it is injected.
@@ -115,7 +118,8 @@
             FaultKind::LateOrders { .. }
             | FaultKind::LostAnswers { .. }
             | FaultKind::Burst { .. }
-            | FaultKind::Leaving { .. } => Target::Any,
+            | FaultKind::Leaving { .. }
+            | FaultKind::Deadly { .. } => Target::Any,
         }
     }
 
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -11,6 +11,7 @@
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -39,6 +40,8 @@
     pub fleet: Fleet,
     pub order_faults: Rc<OrderFaults>,
     pub random: Rc<RefCell<StdRng>>,
+    /// Receives the index of each upstream that has started a deadly task.
+    pub deadly_starts: UnboundedSender<usize>,
 }
 
 impl HostUpstreams {
@@ -107,8 +110,14 @@
         order: &StartOrder,
     ) -> (StartAnswer, Option<u64>) {
         let order = order.clone();
+        let index = self.find(upstream).map(|(index, _)| index);
+        let deadly_starts = self.deadly_starts.clone();
         let start = move |upstream: &mut EmulatedUpstream, late: bool, now: Instant| {
             let answer = upstream.start(&order.task, order.number, order.lease_end_ms, late, now);
+            if answer == StartAnswer::Running && upstream.is_deadly(&order.task) {
+                // Fails only after the end of the simulation.
+                let _ = index.map(|index| deadly_starts.send(index));
+            }
             (answer, Some(upstream.clock_ms(now)))
         };
         match timeout(ORDER_TIMEOUT, self.call(upstream, start)).await {
@@ -148,18 +157,19 @@
             let renew = move |upstream: &mut EmulatedUpstream, _: bool, now: Instant| {
                 upstream.renew_and_acknowledge(request.lease_end_ms, request.acknowledged, now);
             };
-            self.call(upstream, renew).await?;
-            let (index, emulated) = self.find(upstream)?;
+            let refused = || CallError::Refused("connection refused".to_owned());
+            self.call(upstream, renew).await.ok_or_else(refused)?;
+            let (index, emulated) = self.find(upstream).ok_or_else(refused)?;
+            let incarnation = emulated.borrow().incarnation();
             wait_for_end(&emulated, request.acknowledged, Instant::now() + request.wait).await;
-            let listing = emulated.borrow_mut().list(Instant::now());
             self.network.deliver(Node::Upstream(index), Node::Host(self.host)).await;
-            Some(listing)
+            if emulated.borrow().incarnation() != incarnation {
+                return Err(CallError::ResponseLost("connection closed".to_owned()));
+            }
+            Ok(emulated.borrow_mut().list(Instant::now()))
         };
-        match timeout(POLL_TIMEOUT + request.wait, poll).await {
-            Ok(Some(listing)) => Ok(listing),
-            Ok(None) => Err(CallError::Refused("connection refused".to_owned())),
-            Err(_) => Err(CallError::ResponseLost("no answer".to_owned())),
-        }
+        let no_answer = |_| Err(CallError::ResponseLost("no answer".to_owned()));
+        timeout(POLL_TIMEOUT + request.wait, poll).await.unwrap_or_else(no_answer)
     }
 }
 
--- a/crates/heathertrack_model/src/pattern/fault.rs
+++ b/crates/heathertrack_model/src/pattern/fault.rs
@@ -38,6 +38,7 @@
     StoreDown { span_s: f64 },
     Burst { factor: f64, span_s: f64 },
     Leaving { share: f64, span_s: f64 },
+    Deadly { share: f64, span_s: f64 },
 }
 
 impl TryFrom<FaultEntry> for Fault {
@@ -102,6 +103,9 @@
             KindEntry::Leaving { share: part, span_s } => {
                 FaultKind::Leaving { share: share(part)?, span: span(span_s)? }
             }
+            KindEntry::Deadly { share: part, span_s } => {
+                FaultKind::Deadly { share: share(part)?, span: span(span_s)? }
+            }
         })
     }
 }
--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -27,6 +27,8 @@
     pub needs: Needs,
     /// Whether the job's tasks fail on every upstream.
     pub poison: bool,
+    /// Whether the job's first task crashes every upstream that starts it.
+    pub deadly: bool,
 }
 
 /// Jobs by their identifier, shared by all upstreams.
@@ -43,6 +45,8 @@
     pub ended_at: Instant,
     /// Whether the order to start it was executed late.
     pub started_late: bool,
+    /// Whether it ended with the process of its upstream.
+    pub lost: bool,
 }
 
 /// A run in progress.
@@ -170,17 +174,35 @@
 
     /// Ends a run, and lists its end.
     fn finish(&mut self, task: &Task, at: Instant, how: RunEnd) {
-        let Some(run) = self.running.remove(task) else { return };
+        let Some(run) = self.remove(task, at, /* lost: */ false) else { return };
+        self.last_sequence += 1;
+        let (sequence, number) = (self.last_sequence, run.number);
+        self.ended.push(EndedRun { sequence, task: Some(task.clone()), number, how });
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a run that has ended, and records it.
+    fn remove(&mut self, task: &Task, at: Instant, lost: bool) -> Option<Running> {
+        let run = self.running.remove(task)?;
         self.completed_runs.push(CompletedRun {
             task: task.clone(),
             started_at: run.started_at,
             ended_at: at,
             started_late: run.started_late,
+            lost,
         });
-        self.last_sequence += 1;
-        let (sequence, number) = (self.last_sequence, run.number);
-        self.ended.push(EndedRun { sequence, task: Some(task.clone()), number, how });
-        self.changed.notify_waiters();
+        Some(run)
+    }
+
+    /// Returns whether a task crashes this upstream shortly after its start.
+    pub fn is_deadly(&self, task: &Task) -> bool {
+        let profiles = self.job_profiles.borrow();
+        task.index == 0 && profiles.get(&task.job).is_some_and(|profile| profile.deadly)
+    }
+
+    /// Returns a value that differs between incarnations.
+    pub fn incarnation(&self) -> u64 {
+        self.started_ms
     }
 
     /// Extends the lease to `lease_end_ms`, limited to [`MAX_LEASE_MS`] from now.
@@ -232,7 +254,7 @@
         self.highest_numbers.insert(task.clone(), number);
         let work = profile.work.get(task.index as usize).copied().unwrap_or_default();
         let work = work.mul_f64((1.0 + self.misbehaviour.slowdown) / self.speed);
-        let (ends_at, end) = if self.misbehaviour.stalls_runs {
+        let (ends_at, end) = if self.misbehaviour.stalls_runs || self.is_deadly(task) {
             (now + STALL_DURATION, RunEnd::Disappeared)
         } else if self.misbehaviour.fails_runs || profile.poison {
             (now + work / 4, RunEnd::Failed)
@@ -320,7 +342,7 @@
         self.advance(now);
         let tasks: Vec<Task> = self.running.keys().cloned().collect();
         for task in tasks {
-            self.finish(&task, now, RunEnd::Disappeared);
+            self.remove(&task, now, /* lost: */ true);
         }
         self.ended.clear();
         self.highest_numbers.clear();
@@ -342,15 +364,20 @@
     }
 }
 
-/// Waits until an end is listed that is not acknowledged, at most until `until`.
+/// Waits until an end is listed that is not acknowledged, at most until `until`, or until the
+/// upstream's process crashes.
 pub async fn wait_for_end(
     upstream: &Rc<RefCell<EmulatedUpstream>>,
     acknowledged: u64,
     until: Instant,
 ) {
+    let incarnation = upstream.borrow().incarnation();
     loop {
         let now = Instant::now();
         upstream.borrow_mut().advance(now);
+        if upstream.borrow().incarnation() != incarnation {
+            return;
+        }
         if upstream.borrow().has_unacknowledged_end(acknowledged) || now >= until {
             return;
         }
--- a/crates/heathertrack_model/src/verdict.rs
+++ b/crates/heathertrack_model/src/verdict.rs
@@ -53,6 +53,8 @@
     ConcurrentRuns { task: Task, overlap: Duration },
     /// A task was started although all submissions of its job were answered with "not run".
     RefusedJobRan { task: Task },
+    /// A task was started three times more after its runs were lost with three upstreams.
+    StartedAfterLosses { task: Task, losses: usize },
     /// A submission to a host without faults got no answer by its deadline.
     NoAnswer { job: String, waited: Duration },
 }
@@ -66,6 +68,8 @@
     pub classes: Vec<(&'static str, JobStats)>,
     /// Number of runs of tasks.
     pub runs: usize,
+    /// Largest number of upstreams that crashed under one task.
+    pub most_losses: usize,
     /// Total run time, over all tasks, of every run but the task's last, in seconds.
     pub superseded_seconds: f64,
     /// Log lines of all hosts.
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -41,6 +42,9 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
 /// Grace period of a graceful shutdown.
 const STOP_GRACE: Duration = Duration::from_secs(6);
+/// Number of starts of a task, after three upstreams were lost under it, that breaks the users' rule
+/// BUDGET.
+const MAX_STARTS_AFTER_THIRD_LOSS: usize = 3;
 /// Time after a fault of a host in which submissions may get no answer because of it.
 const FAULT_AFTEREFFECT: Duration = Duration::from_secs(1);
 
@@ -75,6 +79,10 @@
     caller_factor: Cell<f64>,
     /// Current share of the callers that disconnect early.
     leaving_share: Cell<f64>,
+    /// Current share of the jobs whose first task crashes every upstream that starts it.
+    deadly_share: Cell<f64>,
+    /// Sends the index of each upstream that has started such a task.
+    deadly_starts: UnboundedSender<usize>,
 }
 
 /// Runs a simulation in virtual time.
@@ -88,8 +96,10 @@
 
 impl World {
     async fn execute(plan: Plan) -> Verdict {
-        let world = Rc::new(World::new(plan));
+        let (deadly_starts, deadly_started) = unbounded_channel();
+        let world = Rc::new(World::new(plan, deadly_starts));
         spawn_local(world.network.clone().run_detached());
+        spawn_local(fault::crash_upstreams(world.clone(), deadly_started));
         world.populate();
         for host in 0..world.plan.site.hosts() {
             world.start_host(host);
@@ -111,7 +121,7 @@
         world.evaluate()
     }
 
-    fn new(plan: Plan) -> Self {
+    fn new(plan: Plan, deadly_starts: UnboundedSender<usize>) -> Self {
         let random = StdRng::seed_from_u64(plan.seed);
         let stats = vec![JobStats::default(); plan.load.classes.len()];
         let leaving_share = plan.load.leaving_share;
@@ -130,6 +140,8 @@
             violations: RefCell::default(),
             caller_factor: Cell::new(1.0),
             leaving_share: Cell::new(leaving_share),
+            deadly_share: Cell::new(0.0),
+            deadly_starts,
         }
     }
 
@@ -193,6 +205,7 @@
                 fleet,
                 order_faults: self.order_faults.clone(),
                 random: self.random.clone(),
+                deadly_starts: self.deadly_starts.clone(),
             },
             network: HostNetwork { network, host },
             clock: VirtualClock::start(),
@@ -294,6 +307,7 @@
         let now = Instant::now();
         let mut runs: BTreeMap<Task, Vec<CompletedRun>> = BTreeMap::new();
         let mut superseded_seconds = 0.0;
+        let mut most_losses = 0;
         for upstream in self.fleet.borrow().iter() {
             let mut upstream = upstream.borrow_mut();
             upstream.end_all_runs(now);
@@ -314,6 +328,14 @@
                     violations.push(Violation::ConcurrentRuns { task: task.clone(), overlap });
                 }
             }
+            let losses: Vec<usize> = (0..completed.len()).filter(|n| completed[*n].lost).collect();
+            most_losses = most_losses.max(losses.len());
+            if let Some(third) = losses.get(2)
+                && completed.len() - (third + 1) >= MAX_STARTS_AFTER_THIRD_LOSS
+            {
+                let losses = losses.len();
+                violations.push(Violation::StartedAfterLosses { task: task.clone(), losses });
+            }
             if refused.contains(&task.job) && completed.iter().any(|run| !run.started_late) {
                 violations.push(Violation::RefusedJobRan { task: task.clone() });
             }
@@ -328,6 +350,7 @@
             violations,
             classes,
             runs: runs.values().map(Vec::len).sum(),
+            most_losses,
             superseded_seconds,
             log,
         }
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -23,17 +23,25 @@
 
 /// Runs one caller: draws a job, submits it until there is an outcome, and records the result.
 pub(super) async fn run(world: Rc<World>) {
-    let (drawn, id, leaves_after) = {
+    let (drawn, id, leaves_after, deadly) = {
         let mut random = world.random.borrow_mut();
         let drawn = world.plan.load.draw(&mut random);
         let id = Id::new(format!("{:016x}", random.random::<u64>()));
         let leaves = random.random_bool(world.leaving_share.get());
         let leaves_after = leaves.then(|| drawn.objective.mul_f64(random.random_range(0.05..0.9)));
-        (drawn, id, leaves_after)
+        let deadly_share = world.deadly_share.get();
+        // Without deadly tasks nothing is drawn, so that the other draws of a seed stay the same.
+        let deadly = deadly_share > 0.0 && random.random_bool(deadly_share);
+        (drawn, id, leaves_after, deadly)
     };
     world.job_profiles.borrow_mut().insert(
         id.clone(),
-        JobProfile { work: drawn.work.clone(), needs: drawn.step.needs, poison: drawn.poison },
+        JobProfile {
+            work: drawn.work.clone(),
+            needs: drawn.step.needs,
+            poison: drawn.poison,
+            deadly,
+        },
     );
     let began = Instant::now();
     let mut refusals = 0;
@@ -76,6 +84,10 @@
         stats.returned += 1;
         stats.returned_in_time += u32::from(in_time);
     }
+    if deadly {
+        // Such a job can't be done, whatever the answer.
+        return;
+    }
     stats.jobs += 1;
     stats.total_worth += drawn.worth;
     let correct = match outcome {
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -9,8 +9,15 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+/// Time from the start of a deadly task to the crash of its upstream.
+const DEADLY_DELAY: Duration = Duration::from_millis(15);
+/// Time until an upstream that crashed under a deadly task runs again.
+const DEADLY_DOWN_TIME: Duration = Duration::from_secs(3);
+
 /// Injects a fault at its time, and ends it after its duration.
 pub(super) async fn inject(world: Rc<World>, fault: Fault) {
     sleep(fault.at).await;
@@ -82,6 +89,20 @@
         FaultKind::Leaving { share, span } => {
             set_for(&world.leaving_share, share, world.plan.load.leaving_share, span).await;
         }
+        FaultKind::Deadly { share, span } => {
+            set_for(&world.deadly_share, share, 0.0, span).await;
+        }
+    }
+}
+
+/// Crashes each upstream that starts a deadly task, shortly after the start.
+pub(super) async fn crash_upstreams(
+    world: Rc<World>,
+    mut deadly_started: UnboundedReceiver<usize>,
+) {
+    while let Some(upstream) = deadly_started.recv().await {
+        let kind = FaultKind::Crash { upstream, down: DEADLY_DOWN_TIME };
+        spawn_local(inject(world.clone(), Fault { at: DEADLY_DELAY, kind }));
     }
 }
 
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -138,3 +138,38 @@
 
     assert!(!causes_concurrent_runs(&Options::default(), &faults));
 }
+
+/// Number of upstreams under whose crashes the users let a job be given up.
+const MAX_LOSSES: usize = 2;
+
+/// Returns the plan of a small site on which a tenth of the jobs has a task that crashes its
+/// upstreams.
+fn deadly(seed: u64) -> Plan {
+    let kind = FaultKind::Deadly { share: 0.1, span: Duration::from_secs(4) };
+    let faults = vec![Fault { at: Duration::from_secs(1), kind }];
+    Plan { faults, ..Plan::small(seed) }
+}
+
+#[test]
+fn a_deadly_task_does_not_crash_upstream_after_upstream() {
+    for seed in 0..seeds() {
+        let verdict = simulate(&deadly(seed));
+
+        assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
+        assert!(verdict.most_losses <= MAX_LOSSES, "seed {seed}: {}", verdict.most_losses);
+    }
+}
+
+/// A caller whose answer is missing submits its job again to another host.
+#[test]
+fn a_deadly_task_is_not_started_afresh_by_the_next_dispatcher() {
+    for seed in 0..seeds() {
+        let mut plan = deadly(seed);
+        let kill = |host| FaultKind::Kill { host, down: Duration::from_secs(1) };
+        plan.faults.extend(one_by_one(1_300, 700, kill));
+
+        let verdict = simulate(&plan);
+
+        assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
+    }
+}
