Stop starting a task after two upstreams crashed under it

What callers saw: one task crashed upstream after upstream until its caller's deadline, and the jobs of others were refused for want of capacity or lost their runs with it. Cause: a run that is lost with the process of its upstream counted for nothing: max_attempts counts only runs that end as failed, and a lost run merely added an upstream to avoid. The class: a retry without a budget, where the failure takes down what serves others (a query of death). Change: pool::quarantine counts the upstreams lost under each task by process, keeps that for a minute beyond the end of the job, and fails a job of which a task crashed two; after three losses of unknown cause the job is given up as one that may have run. Upstreams that were leaving don't count. A resubmitted job is answered at once.

--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -25,6 +25,7 @@
 pub mod order;
 mod ownership;
 pub mod placement;
+mod quarantine;
 pub mod routing;
 mod run;
 mod speed;
--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -116,6 +116,15 @@
         /// Number of failed runs.
         failures: u32,
     },
+    /// A task is not started again, as upstreams were lost under it.
+    TaskQuarantined {
+        /// The task.
+        task: Task,
+        /// Number of upstreams that probably crashed.
+        crashes: usize,
+        /// Number of upstreams that were lost for any cause.
+        losses: usize,
+    },
     /// A run ended without completing.
     RunEnded {
         /// The task.
--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -17,10 +17,10 @@
     Left,
     /// Nothing came from it: it has crashed, is suspended or partitioned.
     Unresponsive,
+    /// Nothing came from it, and its record was removed from the store, as it no longer renewed it.
+    RecordRemoved,
     /// It refused connections: it has crashed, or a network path refuses.
     Refused,
-    /// Its record was removed from the store, as it no longer renewed it.
-    RecordRemoved,
     /// Another process answered in its place.
     Replaced,
 }
@@ -30,11 +30,17 @@
     pub const ALL: [LossCause; 5] = [
         LossCause::Left,
         LossCause::Unresponsive,
-        LossCause::Refused,
         LossCause::RecordRemoved,
+        LossCause::Refused,
         LossCause::Replaced,
     ];
 
+    /// Returns whether the process has probably crashed. A partition may refuse connections as well,
+    /// so this proves nothing about its runs.
+    pub fn is_crash(self) -> bool {
+        matches!(self, LossCause::Refused | LossCause::Replaced)
+    }
+
     /// Returns the name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -9,6 +9,7 @@
 use super::durations::Durations;
 use super::job::{Id, Job, Outcome, Request};
 use super::order::Rank;
+use super::quarantine::{Quarantine, Verdict};
 use super::run::{Run, RunState};
 use super::upstream::Upstream;
 use super::{
@@ -35,6 +36,7 @@
     durations: Durations,
     /// Number of ended runs for each variant of [`RunEnd`], in declaration order.
     end_counts: [u64; 5],
+    quarantine: Quarantine,
     /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
     /// order.
     loss_counts: [u64; LossCause::ALL.len()],
@@ -91,6 +93,7 @@
         self.jobs_by_id.insert(id, key);
         match refusal {
             _ if has_leftover_runs => self.give_up(key, "an earlier submission still runs", now),
+            _ if self.end_blocked(key, now) => {}
             Some((why, expected)) => self.refuse(key, why, expected, now),
             None => self.place(now),
         }
@@ -170,6 +173,24 @@
         self.finish(key, Outcome::MayHaveRun(why), now);
     }
 
+    /// Ends a job if one of its tasks must not be started again, as upstreams were lost under it.
+    /// Returns whether it did.
+    fn end_blocked(&mut self, key: JobKey, now: Time) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        let blocked = self.quarantine.blocked_task(&job.request.id, now);
+        let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
+            return false;
+        };
+        let (crashes, losses) = self.quarantine.counts(&task);
+        self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, losses }));
+        if verdict == Verdict::Crashing {
+            self.finish(key, Outcome::Failed, now);
+        } else {
+            self.give_up(key, "too many upstreams were lost under a task", now);
+        }
+        true
+    }
+
     /// Removes a job, stops its runs and reports its outcome.
     fn finish(&mut self, key: JobKey, outcome: Outcome, now: Time) {
         let Some(job) = self.jobs.remove(key) else { return };
@@ -245,6 +266,11 @@
         self.loss_counts[cause as usize]
     }
 
+    /// Returns the number of tasks under which upstreams were lost, and that are remembered for it.
+    pub fn quarantined_tasks(&self, now: Time) -> usize {
+        self.quarantine.len(now)
+    }
+
     /// Returns the time until the first lease of an upstream with runs expires; a minute if there
     /// are no runs.
     pub fn min_remaining_lease(&self, now: Time) -> Duration {
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -40,6 +40,7 @@
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
+            self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
             self.log_upstream_state(key, "process restarted", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
@@ -182,6 +183,9 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.clock = None;
         upstream.lease_expiry = now;
+        if !upstream.record.draining {
+            self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
+        }
         let runs = upstream.runs.clone();
         let cause = if upstream.record.draining { LossCause::Left } else { LossCause::Replaced };
         self.lose_runs(key, runs, cause, RunEnd::Disappeared, now);
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -6,6 +6,7 @@
 use crate::pool::{
     Decision, Effect, JobKey, Loss, LossCause, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
 };
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Pause of starts on an upstream that refused one for want of capacity: runs of another dispatcher
@@ -193,20 +194,25 @@
         how: RunEnd,
         now: Time,
     ) {
-        let tasks: Vec<Task> =
-            runs.iter().filter_map(|run| Some(self.runs.get(*run)?.task.clone())).collect();
+        let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
+        let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
+        let started_ms = lost().next().and_then(|run| run.process_started_ms);
+        let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
         if let Some(upstream) = self.upstreams.get(key)
             && !tasks.is_empty()
         {
             let age = now.since(upstream.last_answer);
-            let (upstream, started_ms) = (upstream.record.name.clone(), upstream.started_ms);
-            let loss = Loss { upstream, started_ms, cause, tasks };
+            let loss = Loss { upstream: upstream.record.name.clone(), started_ms, cause, tasks };
+            self.quarantine.record(&loss, now);
             self.effects.push(Effect::Log(Decision::RunsLost { loss, age }));
         }
         for run in runs {
             self.end_run(run, how, now);
         }
+        for job in jobs {
+            self.end_blocked(job, now);
+        }
     }
 
     /// Updates the health and the speed of the upstream from the end of a run.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -169,10 +169,10 @@
     pub fn loss_cause(&self) -> LossCause {
         if self.record.draining {
             LossCause::Left
-        } else if self.missing_since.is_some() {
-            LossCause::RecordRemoved
         } else if self.refuses_connections {
             LossCause::Refused
+        } else if self.missing_since.is_some() {
+            LossCause::RecordRemoved
         } else {
             LossCause::Unresponsive
         }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -632,3 +632,75 @@
     assert_eq!(crashed, 2);
     assert_eq!(ended, Some(Outcome::Failed));
 }
+
+/// Returns a dispatcher whose job "j" has failed, as two upstreams crashed under its task, at about
+/// 1,600 ms.
+fn after_two_crashes() -> Pool {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+    for round in 0..2 {
+        let upstream = starts(&pool.take_effects())[0].0;
+        crash(&mut pool, upstream, 110 + round * 800);
+    }
+    pool.take_effects();
+    pool
+}
+
+#[test]
+fn a_task_that_crashed_two_upstreams_is_not_started_when_its_job_is_submitted_again() {
+    let mut pool = after_two_crashes();
+
+    pool.submit(patient_job("j"), at(3_000));
+
+    let effects = pool.take_effects();
+    assert_eq!(outcome(&effects), Some(Outcome::Failed));
+    assert!(starts(&effects).is_empty());
+}
+
+#[test]
+fn other_jobs_run_after_a_task_was_quarantined() {
+    let mut pool = after_two_crashes();
+
+    pool.submit(patient_job("other"), at(3_000));
+
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
+
+/// A partition can't be told from a crash without a closed connection.
+#[test]
+fn a_task_lost_with_three_silent_upstreams_may_have_run_and_is_not_started_again() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+
+    let mut lost = 0;
+    let mut ended = None;
+    for round in 0..4 {
+        let effects = pool.take_effects();
+        ended = ended.or(outcome(&effects));
+        for (upstream, ..) in starts(&effects) {
+            lost += 1;
+            pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(110 + round * 800));
+            pool.tick(at(830 + round * 800));
+        }
+    }
+
+    assert_eq!(lost, 3);
+    assert!(matches!(ended, Some(Outcome::MayHaveRun(_))), "{ended:?}");
+}
+
+#[test]
+fn a_task_is_not_blamed_for_upstreams_that_leave() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+
+    for round in 0..3 {
+        let now = 110 + round * 800;
+        let upstream = starts(&pool.take_effects())[0].0;
+        let (name, _) = pool.upstream_address(upstream).unwrap();
+        let leaving = Record { draining: true, ..record(name.as_str()) };
+        pool.update_upstream(leaving, OWNED, at(now));
+        crash(&mut pool, upstream, now);
+    }
+
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
--- a/crates/heathertrack_cli/src/explain.rs
+++ b/crates/heathertrack_cli/src/explain.rs
@@ -71,6 +71,14 @@
             None => format!("refused: {}", text(line, "why")),
         };
     }
+    if let (Some(line), Some(quarantined)) = (last("job_failed"), last("task_quarantined")) {
+        return format!(
+            "failed after {} ms: {} upstreams crashed under task {}, which is not started again",
+            number(line, "age_ms"),
+            number(quarantined, "crashes"),
+            text(quarantined, "task"),
+        );
+    }
     if let Some(line) = last("job_failed") {
         let failures = lines.iter().filter(|line| line["how"] == "failed").count();
         return format!(
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -314,6 +314,11 @@
                 json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
                     "upstream": upstream.as_str(), "how": how, "age_ms": ms(*age) }),
             ),
+            Decision::TaskQuarantined { task, crashes, losses } => self.write(
+                "task_quarantined",
+                json!({ "id": task.job.as_str(), "task": task.to_string(), "crashes": crashes,
+                    "losses": losses }),
+            ),
             Decision::RunsLost { loss, age } => {
                 let tasks: Vec<String> = loss.tasks.iter().map(Task::to_string).collect();
                 self.write(
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -116,6 +116,8 @@
             let count = state.pool.ended_runs(end);
             counter!("heathertrack_runs_ended_total", "end" => end.name()).absolute(count);
         }
+        let quarantined = state.pool.quarantined_tasks(now);
+        gauge!("heathertrack_quarantined_tasks").set(quarantined as f64);
         for cause in LossCause::ALL {
             let count = state.pool.lost_runs(cause);
             counter!("heathertrack_runs_lost_total", "cause" => cause.name()).absolute(count);
