Run suspects of a crash alone, on an upstream emptied for them

What callers saw: jobs failed or were late only because a task of theirs ran beside one that crashed its upstream, and again beside it, or beside another such task, when both were started again. Cause: a task whose upstream crashed was placed like any other. All runs on that upstream look like the cause, and a second common loss fails the bystander's job as well. Change: machine/isolate.rs keeps an upstream for each suspect, at most one of eight: an idle one, or the one whose runs will end first. It starts there alone. Beyond that share suspects start like any other task, so that a common crash of many upstreams doesn't hold their tasks up.

--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -1,6 +1,6 @@
 //! Jobs and their tasks as a dispatcher tracks them.
 
-use super::{RunKey, UpstreamKey};
+use super::{RunKey, Task, UpstreamKey};
 use crate::clock::Time;
 use std::fmt;
 use std::sync::Arc;
@@ -211,6 +211,13 @@
         (self.request.received + late).min(self.request.deadline)
     }
 
+    /// Returns the identifier of a task.
+    pub fn task(&self, step: usize, index: usize) -> Task {
+        let job = self.request.id.clone();
+        // Repeated jobs are not supported.
+        Task { job, occurrence: 0, step: step as u32, index: index as u32 }
+    }
+
     pub fn is_done(&self) -> bool {
         self.steps.iter().flatten().all(|task| task.done)
     }
@@ -237,6 +244,13 @@
         })
     }
 
+    /// Returns whether a task can be started now.
+    pub fn is_startable(&self, task: &Task) -> bool {
+        let (step, index) = (task.step as usize, task.index as usize);
+        let state = self.steps.get(step).and_then(|tasks| tasks.get(index));
+        state.is_some_and(|state| !state.done && state.run.is_none()) && self.is_ready(step)
+    }
+
     /// Returns a lower bound of the time until the job is done, from the longest declared duration
     /// of the tasks that can be started now.
     pub fn min_time_left(&self) -> Duration {
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -1,5 +1,6 @@
 //! State machine of a dispatcher.
 
+mod isolate;
 mod listings;
 mod orders;
 mod place;
@@ -144,11 +145,8 @@
     /// Returns whether each task could run on some known upstream if that were empty.
     fn could_run(&self, job: &Job) -> bool {
         job.request.steps.iter().all(|step| {
-            self.upstreams.values().any(|upstream| {
-                upstream.record.service == job.request.service
-                    && step.needs.fits(&upstream.record.capacity)
-                    && step.label.as_ref().is_none_or(|label| upstream.has_label(label))
-            })
+            let mut upstreams = self.upstreams.values();
+            upstreams.any(|upstream| upstream.can_hold(&job.request.service, step))
         })
     }
 
--- /dev/null
+++ b/crates/heathertrack/src/pool/machine/isolate.rs
@@ -0,0 +1,119 @@
+//! Starts of suspect tasks, under which an upstream crashed, on upstreams of their own.
+//!
+//! Addresses the load pattern "a task crashes each upstream that starts it, and all upstreams have
+//! runs": without an upstream of its own, each further crash would take others' runs along, and the
+//! tasks of these runs would look like the cause.
+
+use super::Pool;
+use crate::clock::Time;
+use crate::pool::job::Job;
+use crate::pool::upstream::Upstream;
+use crate::pool::{JobKey, Task, UpstreamKey};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Number of usable upstreams for each one that a suspect task may have to itself. After many
+/// crashes at once the tasks are hardly the cause, and the capacity is needed.
+const UPSTREAMS_PER_SUSPECT: usize = 8;
+
+impl Pool {
+    /// Starts suspect tasks on idle upstreams, and keeps upstreams free for those that find none.
+    /// Returns the tasks that wait for such an upstream. Further suspects are started like any other
+    /// task.
+    pub(super) fn place_suspects(&mut self, now: Time) -> BTreeSet<Task> {
+        let mut waiting = BTreeSet::new();
+        self.release_isolated(now);
+        for task in self.quarantine.suspects(now) {
+            let Some(key) = self.jobs_by_id.get(&task.job).copied() else { continue };
+            if !self.jobs.get(key).is_some_and(|job| job.is_startable(&task)) {
+                continue;
+            }
+            let Some(upstream) = self.isolate(key, &task, now) else { continue };
+            if !self.start_isolated(key, &task, upstream, now) {
+                waiting.insert(task);
+            }
+        }
+        waiting
+    }
+
+    /// Makes upstreams available to all tasks again that are kept for a task which no longer waits
+    /// for them or runs there, or that can't be used.
+    fn release_isolated(&mut self, now: Time) {
+        let (jobs, jobs_by_id, runs) = (&self.jobs, &self.jobs_by_id, &self.runs);
+        let waits = |task: &Task| {
+            let key = jobs_by_id.get(&task.job);
+            key.and_then(|key| jobs.get(*key)).is_some_and(|job| job.is_startable(task))
+        };
+        for upstream in self.upstreams.values_mut() {
+            let Some(task) = &upstream.isolated_for else { continue };
+            let mut on_it = upstream.runs.iter().filter_map(|run| runs.get(*run));
+            let runs_there = on_it.any(|run| run.task == *task);
+            if !runs_there && !(waits(task) && upstream.is_usable(now)) {
+                upstream.isolated_for = None;
+            }
+        }
+    }
+
+    /// Returns the upstream that is kept for a suspect task. If there is none, keeps an idle one for
+    /// it, or the one that will probably be idle first. Returns `None` if none can hold the task, or
+    /// if as many upstreams are kept for suspects as may be.
+    fn isolate(&mut self, key: JobKey, task: &Task, now: Time) -> Option<UpstreamKey> {
+        let is_kept = |(_, upstream): &(_, &Upstream)| upstream.isolated_for.as_ref() == Some(task);
+        if let Some((kept, _)) = self.upstreams.iter().find(is_kept) {
+            return Some(kept);
+        }
+        let usable = self.upstreams.values().filter(|upstream| upstream.is_usable(now)).count();
+        let kept =
+            self.upstreams.values().filter(|upstream| upstream.isolated_for.is_some()).count();
+        if kept >= usable.div_ceil(UPSTREAMS_PER_SUSPECT) {
+            return None;
+        }
+        let job = self.jobs.get(key)?;
+        let (step, index) = (task.step as usize, task.index as usize);
+        let idle = self.choose_upstream(job, step, index, Upstream::is_idle, now);
+        let upstream = idle.or_else(|| self.first_idle(job, task, now))?;
+        self.upstreams.get_mut(upstream)?.isolated_for = Some(task.clone());
+        Some(upstream)
+    }
+
+    /// Returns the upstream that could hold a task alone and whose runs will probably end first.
+    fn first_idle(&self, job: &Job, task: &Task, now: Time) -> Option<UpstreamKey> {
+        let step = &job.request.steps[task.step as usize];
+        let avoid = &job.steps[task.step as usize][task.index as usize].avoid;
+        let candidates = self.upstreams.iter().filter(|(key, upstream)| {
+            upstream.is_usable(now)
+                && upstream.isolated_for.is_none()
+                && upstream.foreign.runs.is_empty()
+                && !avoid.contains(key)
+                && upstream.can_hold(&job.request.service, step)
+        });
+        candidates
+            .min_by_key(|(_, upstream)| self.time_until_idle(upstream, now))
+            .map(|(key, _)| key)
+    }
+
+    /// Returns the time after which the runs on an upstream are expected to have ended.
+    fn time_until_idle(&self, upstream: &Upstream, now: Time) -> Duration {
+        let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
+        runs.map(|run| (run.ordered_at + run.expected).since(now)).max().unwrap_or_default()
+    }
+
+    /// Starts a suspect task on the upstream that is kept for it, once that is idle. Returns whether
+    /// it was ordered.
+    fn start_isolated(
+        &mut self,
+        key: JobKey,
+        task: &Task,
+        upstream_key: UpstreamKey,
+        now: Time,
+    ) -> bool {
+        let Some(upstream) = self.upstreams.get(upstream_key) else { return false };
+        let Some(job) = self.jobs.get(key) else { return false };
+        if !upstream.is_idle() || now < upstream.no_starts_until {
+            return false;
+        }
+        let (step, index) = (task.step as usize, task.index as usize);
+        let expected = self.expected_duration(job, &job.request.steps[step], upstream_key);
+        self.start_run(key, step, index, upstream_key, expected, now)
+    }
+}
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -6,6 +6,7 @@
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::Upstream;
 use crate::pool::{Decision, Effect, JobKey, Task, UpstreamKey};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Factor by which a task is expected to take longer on another rack than that of its data: the
@@ -15,12 +16,15 @@
 impl Pool {
     /// Starts queued tasks by rank wherever capacity is free.
     pub(super) fn place(&mut self, now: Time) {
+        let waiting_suspects = self.place_suspects(now);
         let mut max_cpu = self.max_free_cpu(now);
         if max_cpu == 0 {
             return;
         }
         for (_, key) in self.ranked_backlog(now) {
-            while let Some((step_index, task_index)) = self.next_task(key, max_cpu) {
+            while let Some((step_index, task_index)) =
+                self.next_task(key, max_cpu, &waiting_suspects)
+            {
                 if !self.place_task(key, step_index, task_index, now) {
                     // `next_task` would return the same task again.
                     break;
@@ -49,28 +53,40 @@
         upstreams.map(free).max().unwrap_or(0)
     }
 
-    /// Returns the first startable task that takes at most `max_cpu` thousandths of a core, as
-    /// index of the step and index of the task within it.
-    fn next_task(&self, key: JobKey, max_cpu: u32) -> Option<(usize, usize)> {
+    /// Returns the first startable task that takes at most `max_cpu` thousandths of a core and is
+    /// not among `waiting_suspects`, as index of the step and index of the task within it.
+    fn next_task(
+        &self,
+        key: JobKey,
+        max_cpu: u32,
+        waiting_suspects: &BTreeSet<Task>,
+    ) -> Option<(usize, usize)> {
         let job = self.jobs.get(key)?;
-        job.startable().find(|(step_index, _)| job.request.steps[*step_index].needs.cpu <= max_cpu)
+        job.startable().find(|(step, index)| {
+            job.request.steps[*step].needs.cpu <= max_cpu
+                && (waiting_suspects.is_empty()
+                    || !waiting_suspects.contains(&job.task(*step, *index)))
+        })
     }
 
     /// Orders the start of a task if an upstream can take it. Returns whether it was ordered.
     fn place_task(&mut self, key: JobKey, step_index: usize, task_index: usize, now: Time) -> bool {
         let Some(job) = self.jobs.get(key) else { return false };
-        let Some(upstream) = self.choose_upstream(job, step_index, task_index, now) else {
-            return false;
-        };
+        let anywhere = |_: &Upstream| true;
+        let upstream = self.choose_upstream(job, step_index, task_index, anywhere, now);
+        let Some(upstream) = upstream else { return false };
         let expected = self.expected_duration(job, &job.request.steps[step_index], upstream);
         self.start_run(key, step_index, task_index, upstream, expected, now)
     }
 
-    fn choose_upstream(
+    /// Returns the upstream for a task, among those with enough free capacity that fulfil the
+    /// condition.
+    pub(super) fn choose_upstream(
         &self,
         job: &Job,
         step_index: usize,
         task_index: usize,
+        condition: impl Fn(&Upstream) -> bool,
         now: Time,
     ) -> Option<UpstreamKey> {
         let step = &job.request.steps[step_index];
@@ -78,9 +94,9 @@
         let time_left = job.due().since(now);
         let choices = self.upstreams.iter().filter(|(key, upstream)| {
             upstream.accepts_starts(now)
-                && upstream.record.service == job.request.service
+                && condition(upstream)
+                && upstream.can_hold(&job.request.service, step)
                 && step.needs.fits(&upstream.free())
-                && step.label.as_ref().is_none_or(|label| upstream.has_label(label))
                 && self.below_limit(job, step_index, *key)
         });
         let choices: Vec<_> = choices.collect();
@@ -108,7 +124,12 @@
     }
 
     /// Returns the expected duration of a task on an upstream.
-    fn expected_duration(&self, job: &Job, step: &Step, upstream: UpstreamKey) -> Duration {
+    pub(super) fn expected_duration(
+        &self,
+        job: &Job,
+        step: &Step,
+        upstream: UpstreamKey,
+    ) -> Duration {
         let usual = self.durations.expected(&job.request.class, step.estimate);
         let Some(upstream) = self.upstreams.get(upstream) else { return usual };
         let is_remote = step.near.as_ref().is_some_and(|rack| !upstream.has_label(rack));
@@ -118,7 +139,7 @@
 
     /// Orders the start of a run. Returns false without a reading of the upstream's clock, as the
     /// order has to contain the end of the lease.
-    fn start_run(
+    pub(super) fn start_run(
         &mut self,
         key: JobKey,
         step_index: usize,
@@ -136,13 +157,8 @@
         task_state.last_number += 1;
         let number = task_state.last_number;
         let needs = job.request.steps[step_index].needs;
-        let task = Task {
-            job: job.request.id.clone(),
-            // Repeated jobs are not supported.
-            occurrence: 0,
-            step: step_index as u32,
-            index: task_index as u32,
-        };
+        let task = job.task(step_index, task_index);
+        let task_state = &mut job.steps[step_index][task_index];
         let run = self.runs.insert(Run {
             task: task.clone(),
             number,
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Returns the tasks that may have caused a crash, but may be started again.
+    pub fn suspects(&self, now: Time) -> Vec<Task> {
+        let suspects = self.entries.iter().filter(|(_, e)| e.verdict(now) == Verdict::Suspect);
+        suspects.map(|(task, _)| task.clone()).collect()
+    }
+
     /// Returns the task of a job with the worst verdict, if any of its tasks must not be started.
     pub fn blocked_task(&self, job: &Id, now: Time) -> Option<(&Task, Verdict)> {
         let first = Task { job: job.clone(), occurrence: 0, step: 0, index: 0 };
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -1,7 +1,7 @@
 //! Upstreams as a dispatcher tracks them.
 
 use super::health::Health;
-use super::job::Needs;
+use super::job::{Needs, Step};
 use super::speed::Speed;
 use super::{LossCause, RunKey, Task};
 use crate::clock::Time;
@@ -95,6 +95,8 @@
     pub runs: Vec<RunKey>,
     /// Resources that these runs hold.
     pub used: Needs,
+    /// Suspect task that is to run here alone, or does so.
+    pub isolated_for: Option<Task>,
     pub foreign: ForeignRuns,
     /// Number of polls in flight.
     pub polls_in_flight: u32,
@@ -132,6 +134,7 @@
             unacknowledged_ends: BTreeMap::new(),
             runs: Vec::new(),
             used: Needs::default(),
+            isolated_for: None,
             foreign: ForeignRuns::default(),
             polls_in_flight: 0,
             poll_due: now,
@@ -194,6 +197,7 @@
     /// Returns whether runs may be started here now.
     pub fn accepts_starts(&self, now: Time) -> bool {
         self.is_usable(now)
+            && self.isolated_for.is_none()
             && now >= self.no_starts_until
             && self.health.admits(now, self.runs.len())
     }
@@ -209,6 +213,18 @@
             && !self.health.is_ejected(now)
     }
 
+    /// Returns whether nothing runs here, as far as known.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.foreign.runs.is_empty()
+    }
+
+    /// Returns whether a task of a step could run here if nothing else did.
+    pub fn can_hold(&self, service: &str, step: &Step) -> bool {
+        *self.record.service == *service
+            && step.needs.fits(&self.record.capacity)
+            && step.label.as_ref().is_none_or(|label| self.has_label(label))
+    }
+
     pub fn has_label(&self, label: &str) -> bool {
         self.record.labels.iter().any(|own| &**own == label)
     }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -8,6 +8,7 @@
     Decision, Effect, EndedRun, Listing, LossCause, Options, PollFailure, Pool, RunEnd, RunKey,
     RunningRun, StartAnswer, Task, UpstreamKey,
 };
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// CPU of a task, in thousandths of a core. Two such tasks fit on an upstream, three do not.
@@ -704,3 +705,87 @@
 
     assert_eq!(starts(&pool.take_effects()).len(), 1);
 }
+
+/// Names of sixteen upstreams.
+const SIXTEEN: [&str; 16] = [
+    "u00", "u01", "u02", "u03", "u04", "u05", "u06", "u07", "u08", "u09", "u10", "u11", "u12",
+    "u13", "u14", "u15",
+];
+
+#[test]
+fn bystanders_of_a_crash_share_no_upstream_with_the_task_that_caused_it() {
+    let mut pool = pool(&SIXTEEN);
+    pool.submit(patient_job("deadly"), at(100));
+    let upstream = starts(&pool.take_effects())[0].0;
+    pool.submit(patient_job("bystander"), at(100));
+    let beside = starts(&pool.take_effects())[0].0;
+    assert_eq!(beside, upstream);
+
+    crash(&mut pool, upstream, 110);
+    let again: Vec<UpstreamKey> =
+        starts(&pool.take_effects()).iter().map(|start| start.0).collect();
+    pool.submit(patient_job("other"), at(840));
+    let other = starts(&pool.take_effects())[0].0;
+
+    assert_eq!(again.len(), 2);
+    assert_ne!(again[0], again[1]);
+    assert!(!again.contains(&other));
+}
+
+/// Seven upstreams crash at once, which no task has caused.
+#[test]
+fn tasks_of_a_common_crash_are_all_started_again_at_once() {
+    let mut pool = pool(&SIXTEEN);
+    for index in 0..14 {
+        pool.submit(patient_job(&format!("j{index}")), at(100));
+    }
+    let upstreams: Vec<UpstreamKey> =
+        starts(&pool.take_effects()).iter().map(|start| start.0).collect();
+
+    for upstream in &upstreams {
+        pool.on_poll_failed(*upstream, PollFailure::Refused, at(110));
+    }
+    pool.tick(at(830));
+
+    assert_eq!(starts(&pool.take_effects()).len(), 14);
+}
+
+/// All upstreams are full, so that one has to be emptied first.
+#[test]
+fn a_suspect_waits_for_an_upstream_of_its_own_instead_of_starting_beside_others() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("deadly"), at(100));
+    for index in 0..7 {
+        pool.submit(patient_job(&format!("j{index}")), at(100));
+    }
+    let started = starts(&pool.take_effects());
+    let crashed = started[0].0;
+    let others: Vec<&Started> = started.iter().filter(|start| start.0 != crashed).collect();
+    let row = |start: &&Started| RunningRun { task: start.2.clone(), number: 1, percent: 1 };
+    let answer = |pool: &mut Pool, upstream: UpstreamKey, done: usize, ms: u64| {
+        let there: Vec<&Started> = others.iter().filter(|s| s.0 == upstream).copied().collect();
+        let ends = there[..done].iter().enumerate();
+        let ends = ends.map(|(n, s)| end(n as u64 + 1, &s.2, 1, RunEnd::Done)).collect();
+        let running = there[done..].iter().map(row).collect();
+        pool.on_poll_answer(upstream, &listing(running, ends), at(ms), at(ms));
+    };
+    let upstreams: BTreeSet<UpstreamKey> = others.iter().map(|start| start.0).collect();
+    pool.on_poll_failed(crashed, PollFailure::Refused, at(110));
+    for upstream in &upstreams {
+        answer(&mut pool, *upstream, 0, 600);
+    }
+    pool.tick(at(830));
+
+    for upstream in &upstreams {
+        answer(&mut pool, *upstream, 1, 840);
+    }
+    let beside = starts(&pool.take_effects());
+    for upstream in &upstreams {
+        answer(&mut pool, *upstream, 2, 850);
+    }
+    let alone = starts(&pool.take_effects());
+
+    let is_deadly = |start: &&Started| start.2.job.as_str() == "deadly";
+    assert_eq!(beside.iter().filter(is_deadly).count(), 0, "{beside:?}");
+    assert_eq!(alone.iter().filter(is_deadly).count(), 1, "{alone:?}");
+}
