Let suspects beyond their share of upstreams wait while tasks crash upstreams

What callers saw: while many deadly tasks came, jobs of others still lost their runs with suspects that started beside them, and were refused for want of capacity. Cause: beyond one of eight upstreams, suspects started like any other task. That is right after a common crash that no task has caused, and wrong while tasks cause the crashes. Change: for 10 s after a task was found to crash upstreams, suspects beyond the share wait for an upstream. Evidence: the new test failed before (6 starts instead of 2); the test of a common crash without such a task holds.

--- a/crates/heathertrack/src/pool/machine/isolate.rs
+++ b/crates/heathertrack/src/pool/machine/isolate.rs
@@ -18,8 +18,8 @@
 
 impl Pool {
     /// Starts suspect tasks on idle upstreams, and keeps upstreams free for those that find none.
-    /// Returns the tasks that wait for such an upstream. Further suspects are started like any other
-    /// task.
+    /// Returns the suspects that have to wait. Those beyond the number of upstreams that may be kept
+    /// are started like any other task, unless some task was found to crash upstreams lately.
     pub(super) fn place_suspects(&mut self, now: Time) -> BTreeSet<Task> {
         let mut waiting = BTreeSet::new();
         self.release_isolated(now);
@@ -28,8 +28,12 @@
             if !self.jobs.get(key).is_some_and(|job| job.is_startable(&task)) {
                 continue;
             }
-            let Some(upstream) = self.isolate(key, &task, now) else { continue };
-            if !self.start_isolated(key, &task, upstream, now) {
+            let is_started = match self.isolate(key, &task, now) {
+                Some(upstream) => self.start_isolated(key, &task, upstream, now),
+                None if self.quarantine.has_convicted(now) => false,
+                None => continue,
+            };
+            if !is_started {
                 waiting.insert(task);
             }
         }
@@ -48,7 +52,7 @@
             let Some(task) = &upstream.isolated_for else { continue };
             let mut on_it = upstream.runs.iter().filter_map(|run| runs.get(*run));
             let runs_there = on_it.any(|run| run.task == *task);
-            if !runs_there && !(waits(task) && upstream.is_usable(now)) {
+            if !(runs_there || waits(task) && upstream.is_usable(now)) {
                 upstream.isolated_for = None;
             }
         }
@@ -80,16 +84,16 @@
     fn first_idle(&self, job: &Job, task: &Task, now: Time) -> Option<UpstreamKey> {
         let step = &job.request.steps[task.step as usize];
         let avoid = &job.steps[task.step as usize][task.index as usize].avoid;
-        let candidates = self.upstreams.iter().filter(|(key, upstream)| {
+        let candidates = self.upstreams.iter().filter(|(_, upstream)| {
             upstream.is_usable(now)
                 && upstream.isolated_for.is_none()
                 && upstream.foreign.runs.is_empty()
-                && !avoid.contains(key)
                 && upstream.can_hold(&job.request.service, step)
         });
-        candidates
-            .min_by_key(|(_, upstream)| self.time_until_idle(upstream, now))
-            .map(|(key, _)| key)
+        let cost = |(key, upstream): &(UpstreamKey, &Upstream)| {
+            (avoid.contains(key), self.time_until_idle(upstream, now))
+        };
+        candidates.min_by_key(cost).map(|(key, _)| key)
     }
 
     /// Returns the time after which the runs on an upstream are expected to have ended.
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -19,6 +19,8 @@
 /// Time for which the losses of a task are remembered. Callers send a job again after seconds, and
 /// not after their deadline.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Time for which further crashes are attributed to tasks after one was found to crash upstreams.
+const CONVICTION_SPAN: Duration = Duration::from_secs(10);
 /// Maximum number of tasks with losses; above it, those with the oldest loss are forgotten.
 const MAX_TASKS: usize = 4_096;
 
@@ -71,6 +73,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     entries: BTreeMap<Task, Entry>,
+    /// When a task was last found to crash upstreams.
+    last_conviction: Option<Time>,
 }
 
 impl Quarantine {
@@ -90,6 +94,9 @@
             entry.last_loss = now;
             let cause = entry.losses.entry(process.clone()).or_insert(loss.cause);
             *cause = loss.cause.max(*cause);
+            if entry.verdict(now) == Verdict::Crashing {
+                self.last_conviction = Some(now);
+            }
         }
         while self.entries.len() > MAX_TASKS {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_loss);
@@ -108,6 +115,11 @@
         }
     }
 
+    /// Returns whether a task was found to crash upstreams a short time ago, so that others may.
+    pub fn has_convicted(&self, now: Time) -> bool {
+        self.last_conviction.is_some_and(|at| now.since(at) < CONVICTION_SPAN)
+    }
+
     /// Returns the tasks that may have caused a crash, but may be started again.
     pub fn suspects(&self, now: Time) -> Vec<Task> {
         let suspects = self.entries.iter().filter(|(_, e)| e.verdict(now) == Verdict::Suspect);
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -634,10 +634,10 @@
     assert_eq!(ended, Some(Outcome::Failed));
 }
 
-/// Returns a dispatcher whose job "j" has failed, as two upstreams crashed under its task, at about
+/// Returns a dispatcher of upstreams of these names whose job "j" has failed, as two upstreams crashed under its task, at about
 /// 1,600 ms.
-fn after_two_crashes() -> Pool {
-    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+fn after_two_crashes(names: &[&str]) -> Pool {
+    let mut pool = pool(names);
     pool.submit(patient_job("j"), at(100));
     for round in 0..2 {
         let upstream = starts(&pool.take_effects())[0].0;
@@ -649,7 +649,7 @@
 
 #[test]
 fn a_task_that_crashed_two_upstreams_is_not_started_when_its_job_is_submitted_again() {
-    let mut pool = after_two_crashes();
+    let mut pool = after_two_crashes(&["u1", "u2", "u3", "u4"]);
 
     pool.submit(patient_job("j"), at(3_000));
 
@@ -660,7 +660,7 @@
 
 #[test]
 fn other_jobs_run_after_a_task_was_quarantined() {
-    let mut pool = after_two_crashes();
+    let mut pool = after_two_crashes(&["u1", "u2", "u3", "u4"]);
 
     pool.submit(patient_job("other"), at(3_000));
 
@@ -789,3 +789,23 @@
     assert_eq!(beside.iter().filter(is_deadly).count(), 0, "{beside:?}");
     assert_eq!(alone.iter().filter(is_deadly).count(), 1, "{alone:?}");
 }
+
+/// A common crash after a task was found to crash upstreams: the next one may be such a task as well.
+#[test]
+fn suspects_beyond_their_share_of_upstreams_wait_while_tasks_crash_upstreams() {
+    let mut pool = after_two_crashes(&SIXTEEN);
+    for index in 0..6 {
+        pool.submit(patient_job(&format!("j{index}")), at(3_000));
+    }
+    let upstreams: BTreeSet<UpstreamKey> =
+        starts(&pool.take_effects()).iter().map(|start| start.0).collect();
+
+    for upstream in &upstreams {
+        pool.on_poll_failed(*upstream, PollFailure::Refused, at(3_010));
+    }
+    pool.tick(at(3_730));
+
+    let again = starts(&pool.take_effects());
+    let alone: BTreeSet<UpstreamKey> = again.iter().map(|start| start.0).collect();
+    assert_eq!((again.len(), alone.len()), (2, 2), "two of the upstreams left are kept: {again:?}");
+}
