Tell other dispatchers of runs that are lost with their upstreams

What callers saw: a job whose answer is missing is sent again to any host, and the next dispatcher started its crashing task afresh: up to two more upstreams for each dispatcher. Cause: what is known of a task stayed with the dispatcher, and was lost with it. Change: a dispatcher reports each loss to the hosts that dispatch and to those of its data centre, which may take over (Frame::Losses), and sends what it remembers on a new link. A loss is the process of an upstream and the tasks, so a repeated report counts once. Hosts of earlier releases get no such message (Hello::takes_losses).

--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -56,6 +56,9 @@
         /// Whether it ended within its objective.
         in_time: bool,
     },
+    /// Tell the other dispatchers of a loss, with [`super::Pool::on_loss_report`]: a job may be
+    /// submitted again to any of them.
+    ReportLoss(Loss),
     /// Write a decision to the log.
     Log(Decision),
 }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -205,6 +205,7 @@
             let age = now.since(upstream.last_answer);
             let loss = Loss { upstream: upstream.record.name.clone(), started_ms, cause, tasks };
             self.quarantine.record(&loss, now);
+            self.effects.push(Effect::ReportLoss(loss.clone()));
             self.effects.push(Effect::Log(Decision::RunsLost { loss, age }));
         }
         for run in runs {
@@ -215,6 +216,21 @@
         }
     }
 
+    /// Handles another dispatcher's report of a loss.
+    pub fn on_loss_report(&mut self, loss: &Loss, now: Time) {
+        self.quarantine.record(loss, now);
+        let job = |task: &Task| self.jobs_by_id.get(&task.job).copied();
+        let jobs: BTreeSet<JobKey> = loss.tasks.iter().filter_map(job).collect();
+        for job in jobs {
+            self.end_blocked(job, now);
+        }
+    }
+
+    /// Returns the losses that are remembered, for a host whose process has just started.
+    pub fn remembered_losses(&self, now: Time) -> Vec<Loss> {
+        self.quarantine.losses(now)
+    }
+
     /// Updates the health and the speed of the upstream from the end of a run.
     fn learn_from_end(&mut self, run: &Run, how: RunEnd, now: Time) {
         let age = now.since(run.ordered_at);
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -105,6 +105,24 @@
         }
     }
 
+    /// Returns the losses that are remembered, by process.
+    pub fn losses(&self, now: Time) -> Vec<Loss> {
+        let mut losses: BTreeMap<(&Process, LossCause), Vec<Task>> = BTreeMap::new();
+        let remembered = |(_, entry): &(&Task, &Entry)| now.since(entry.last_loss) <= RETENTION;
+        for (task, entry) in self.entries.iter().filter(remembered) {
+            for (process, cause) in &entry.losses {
+                losses.entry((process, *cause)).or_default().push(task.clone());
+            }
+        }
+        let loss = |(((upstream, started_ms), cause), tasks): ((&Process, LossCause), _)| Loss {
+            upstream: upstream.clone(),
+            started_ms: *started_ms,
+            cause,
+            tasks,
+        };
+        losses.into_iter().map(loss).collect()
+    }
+
     /// Records that a process is known to have ended.
     pub fn confirm(&mut self, upstream: &name::Upstream, started_ms: Option<u64>) {
         let process = (upstream.clone(), started_ms);
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -269,7 +269,7 @@
             Effect::Start { upstream, .. }
             | Effect::Stop { upstream, .. }
             | Effect::Poll { upstream, .. } => Some(self.index(*upstream)),
-            Effect::Finish { .. } | Effect::Log(_) => None,
+            Effect::Finish { .. } | Effect::ReportLoss(_) | Effect::Log(_) => None,
         }
     }
 
@@ -302,7 +302,7 @@
                     self.finish(*job, id, outcome.clone())?;
                     continue;
                 }
-                Effect::Log(_) => continue,
+                Effect::ReportLoss(_) | Effect::Log(_) => continue,
                 Effect::Stop { .. } | Effect::Poll { .. } => {}
             }
             self.orders.push((self.now, effect));
@@ -408,7 +408,7 @@
                 self.record_ends(index);
                 Ok(Answer::Listing(self.upstreams[index].poll(*lease_end_ms, *acknowledged, now)))
             }
-            Effect::Finish { .. } | Effect::Log(_) => Ok(Answer::Confirmed),
+            Effect::Finish { .. } | Effect::ReportLoss(_) | Effect::Log(_) => Ok(Answer::Confirmed),
         }
     }
 
@@ -494,7 +494,7 @@
                 }
                 _ => self.pool.on_poll_failed(*upstream, PollFailure::NoAnswer, now),
             },
-            Effect::Finish { .. } | Effect::Log(_) => {}
+            Effect::Finish { .. } | Effect::ReportLoss(_) | Effect::Log(_) => {}
         }
         self.process_effects()
     }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -5,8 +5,8 @@
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Decision, Effect, EndedRun, Listing, LossCause, Options, PollFailure, Pool, RunEnd, RunKey,
-    RunningRun, StartAnswer, Task, UpstreamKey,
+    Decision, Effect, EndedRun, Listing, Loss, LossCause, Options, PollFailure, Pool, RunEnd,
+    RunKey, RunningRun, StartAnswer, Task, UpstreamKey,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -809,3 +809,71 @@
     let alone: BTreeSet<UpstreamKey> = again.iter().map(|start| start.0).collect();
     assert_eq!((again.len(), alone.len()), (2, 2), "two of the upstreams left are kept: {again:?}");
 }
+
+/// Returns what a dispatcher reports to the others.
+fn reports(effects: &[Effect]) -> Vec<Loss> {
+    let report = |effect: &Effect| match effect {
+        Effect::ReportLoss(loss) => Some(loss.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(report).collect()
+}
+
+/// Returns the losses that a dispatcher reports while two upstreams crash under the task of "j".
+fn reports_of_two_crashes() -> Vec<Loss> {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(100));
+    let mut losses = Vec::new();
+    let mut effects = pool.take_effects();
+    for round in 0..2 {
+        crash(&mut pool, starts(&effects)[0].0, 110 + round * 800);
+        effects = pool.take_effects();
+        losses.extend(reports(&effects));
+    }
+    losses
+}
+
+#[test]
+fn a_task_that_crashed_upstreams_of_another_dispatcher_is_not_started() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+
+    for loss in &losses {
+        next.on_loss_report(loss, at(2_000));
+    }
+    next.submit(patient_job("j"), at(3_000));
+
+    let effects = next.take_effects();
+    assert_eq!(outcome(&effects), Some(Outcome::Failed));
+    assert!(starts(&effects).is_empty());
+    assert!(reports(&effects).is_empty(), "reports are not passed on");
+}
+
+#[test]
+fn a_loss_that_is_reported_twice_counts_once() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+
+    for _ in 0..2 {
+        next.on_loss_report(&losses[0], at(2_000));
+    }
+    next.submit(patient_job("j"), at(3_000));
+
+    assert_eq!(starts(&next.take_effects()).len(), 1);
+}
+
+#[test]
+fn a_job_in_progress_ends_when_another_dispatcher_reports_that_it_crashes_upstreams() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+    next.submit(patient_job("j"), at(1_000));
+    next.take_effects();
+
+    for loss in &losses {
+        next.on_loss_report(loss, at(1_100));
+    }
+
+    let effects = next.take_effects();
+    assert_eq!(outcome(&effects), Some(Outcome::Failed));
+    assert_eq!(stops(&effects).len(), 1);
+}
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -2,9 +2,9 @@
 //! of the protocol.
 
 use heathertrack::clock::Time;
-use heathertrack::name::{DataCentre, Host};
-use heathertrack::pool::Load;
+use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
+use heathertrack::pool::{Load, Loss, LossCause, Task};
 use heathertrack_platform::{HostRecord, Item};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
@@ -58,6 +58,9 @@
         /// Names of the upstreams.
         upstreams: Vec<String>,
     },
+    /// Reports runs that were lost with their upstreams. Sent only to hosts with
+    /// [`Hello::takes_losses`].
+    Losses { losses: Vec<LossWire> },
 }
 
 /// Identity of the sender.
@@ -74,10 +77,13 @@
     /// Whether the sender understands [`Frame::Handover`]. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
     pub takes_handovers: bool,
+    /// Whether the sender understands [`Frame::Losses`]. Earlier releases don't send this field.
+    #[serde(deserialize_with = "or_default")]
+    pub takes_losses: bool,
 }
 
-/// Reads a field that earlier releases don't send. It has to be the last one of its message, where
-/// the encoding has nothing left to read.
+/// Reads a field that earlier releases don't send. Only such fields may follow it in its message, as
+/// the encoding has nothing left to read there.
 fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
@@ -160,6 +166,34 @@
     MayHaveRun { why: String },
 }
 
+/// Runs that were lost with the process of their upstream, with the fields of [`Loss`].
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct LossWire {
+    pub upstream: String,
+    pub started_ms: Option<u64>,
+    pub cause: CauseWire,
+    pub tasks: Vec<TaskWire>,
+}
+
+/// [`LossCause`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub enum CauseWire {
+    Left,
+    Unresponsive,
+    RecordRemoved,
+    Refused,
+    Replaced,
+}
+
+/// [`Task`].
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct TaskWire {
+    pub job: String,
+    pub occurrence: u64,
+    pub step: u32,
+    pub index: u32,
+}
+
 /// Item of the store; it has no value if it was removed.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ItemWire {
@@ -183,6 +217,7 @@
             peers: record.peers,
             cpu_share: record.cpu_share,
             takes_handovers: true,
+            takes_losses: true,
         }
     }
 }
@@ -332,3 +367,63 @@
         Item { key: wire.key, revision: wire.revision, value: wire.value }
     }
 }
+
+impl From<&Loss> for LossWire {
+    fn from(loss: &Loss) -> Self {
+        LossWire {
+            upstream: loss.upstream.to_string(),
+            started_ms: loss.started_ms,
+            cause: loss.cause.into(),
+            tasks: loss.tasks.iter().map(TaskWire::from).collect(),
+        }
+    }
+}
+
+impl From<LossWire> for Loss {
+    fn from(wire: LossWire) -> Self {
+        Loss {
+            upstream: Upstream::new(wire.upstream),
+            started_ms: wire.started_ms,
+            cause: wire.cause.into(),
+            tasks: wire.tasks.into_iter().map(Task::from).collect(),
+        }
+    }
+}
+
+impl From<LossCause> for CauseWire {
+    fn from(cause: LossCause) -> Self {
+        match cause {
+            LossCause::Left => CauseWire::Left,
+            LossCause::Unresponsive => CauseWire::Unresponsive,
+            LossCause::RecordRemoved => CauseWire::RecordRemoved,
+            LossCause::Refused => CauseWire::Refused,
+            LossCause::Replaced => CauseWire::Replaced,
+        }
+    }
+}
+
+impl From<CauseWire> for LossCause {
+    fn from(wire: CauseWire) -> Self {
+        match wire {
+            CauseWire::Left => LossCause::Left,
+            CauseWire::Unresponsive => LossCause::Unresponsive,
+            CauseWire::RecordRemoved => LossCause::RecordRemoved,
+            CauseWire::Refused => LossCause::Refused,
+            CauseWire::Replaced => LossCause::Replaced,
+        }
+    }
+}
+
+impl From<&Task> for TaskWire {
+    fn from(task: &Task) -> Self {
+        let job = task.job.to_string();
+        TaskWire { job, occurrence: task.occurrence, step: task.step, index: task.index }
+    }
+}
+
+impl From<TaskWire> for Task {
+    fn from(wire: TaskWire) -> Self {
+        let job = Id::new(wire.job);
+        Task { job, occurrence: wire.occurrence, step: wire.step, index: wire.index }
+    }
+}
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -179,6 +179,7 @@
                 entry.apply_changes(Changes { items, revision }, false);
             }
             Frame::Handover { upstreams } => entry.handle_handover(upstreams),
+            Frame::Losses { losses } => entry.handle_losses(losses),
         }
     }
 }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -2,7 +2,7 @@
 //! tarpc interface between hosts is separate: `crate::peers`, `crate::server`, `crate::heartbeats`.
 
 use crate::entry::boot_clock::Clock;
-use crate::entry::frame::{Frame, Heartbeat, Hello, ItemWire, Submit};
+use crate::entry::frame::{Frame, Heartbeat, Hello, ItemWire, LossWire, Submit};
 use crate::entry::node::{EntryHost, Environment};
 use crate::entry::state::{Peer, Reply};
 use heathertrack::membership::depth::MirrorScope;
@@ -33,7 +33,7 @@
         dialled: bool,
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
-        let (incarnation, takes_handovers) = (hello.incarnation, hello.takes_handovers);
+        let Hello { incarnation, takes_handovers, takes_losses, .. } = hello;
         let record = HostRecord::from(hello);
         let host = record.name.clone();
         // If two hosts dialled each other, both keep the link that the host with the smaller name
@@ -60,6 +60,7 @@
             frames,
             incarnation,
             takes_handovers,
+            takes_losses,
             dialled,
             // The state and load are unknown until the first heartbeat of the peer.
             has_reported: false,
@@ -74,7 +75,14 @@
             last_handover: None,
             unused_since: None,
         };
+        let now = self.now();
         let mut state = self.state.borrow_mut();
+        let losses = state.pool.remembered_losses(now);
+        if takes_losses && !losses.is_empty() {
+            let losses = losses.iter().map(LossWire::from).collect();
+            // The queue of a new link has room.
+            let _ = peer.frames.try_send(Frame::Losses { losses });
+        }
         state.peers.insert(host.clone(), peer);
         state.hosts.insert(host.clone(), record);
         self.event_log.peer_found(&host);
@@ -230,6 +238,15 @@
         });
     }
 
+    /// Records runs that were lost at another dispatcher.
+    pub(super) fn handle_losses(self: &Rc<Self>, losses: Vec<LossWire>) {
+        self.with_pool(|pool, now| {
+            for loss in losses {
+                pool.on_loss_report(&loss.into(), now);
+            }
+        });
+    }
+
     /// Queues a message for a peer, if it still has a link.
     pub(in crate::entry) fn send_to(&self, host: &Host, frame: Frame) {
         let state = self.state.borrow();
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -91,6 +91,8 @@
     pub incarnation: u64,
     /// Whether the peer understands [`Frame::Handover`].
     pub takes_handovers: bool,
+    /// Whether the peer understands [`Frame::Losses`].
+    pub takes_losses: bool,
     /// Whether this host opened the connection.
     pub dialled: bool,
     /// Whether the peer has sent a heartbeat. Before that, it is unknown whether it dispatches.
