Check that the upstream kept for a suspect can still hold it

Cause: an upstream that is emptied for a suspect task was checked when it was chosen, not when the task starts. If it has shrunk meanwhile, the start exceeds its capacity. The test of the dispatcher failed before as well. Change: such an upstream is released as soon as it can't hold the task; another one is chosen.

--- a/crates/heathertrack/src/pool/machine/isolate.rs
+++ b/crates/heathertrack/src/pool/machine/isolate.rs
@@ -41,18 +41,21 @@
     }
 
     /// Makes upstreams available to all tasks again that are kept for a task which no longer waits
-    /// for them or runs there, or that can't be used.
+    /// for them or runs there, or that can't be used or can't hold it any more.
     fn release_isolated(&mut self, now: Time) {
         let (jobs, jobs_by_id, runs) = (&self.jobs, &self.jobs_by_id, &self.runs);
-        let waits = |task: &Task| {
-            let key = jobs_by_id.get(&task.job);
-            key.and_then(|key| jobs.get(*key)).is_some_and(|job| job.is_startable(task))
+        let waits_for = |task: &Task, upstream: &Upstream| {
+            let job = jobs_by_id.get(&task.job).and_then(|key| jobs.get(*key));
+            job.filter(|job| job.is_startable(task)).is_some_and(|job| {
+                let step = &job.request.steps[task.step as usize];
+                upstream.is_usable(now) && upstream.can_hold(&job.request.service, step)
+            })
         };
         for upstream in self.upstreams.values_mut() {
             let Some(task) = &upstream.isolated_for else { continue };
             let mut on_it = upstream.runs.iter().filter_map(|run| runs.get(*run));
             let runs_there = on_it.any(|run| run.task == *task);
-            if !(runs_there || waits(task) && upstream.is_usable(now)) {
+            if !(runs_there || waits_for(task, upstream)) {
                 upstream.isolated_for = None;
             }
         }
--- a/crates/heathertrack/tests/fuzz/pool/event.rs
+++ b/crates/heathertrack/tests/fuzz/pool/event.rs
@@ -5,6 +5,9 @@
 /// Number of upstreams in the model.
 pub const UPSTREAMS: usize = 4;
 
+/// Capacities of upstreams, in thousandths of a core: none, two or three, and two to five tasks fit.
+const CAPACITIES: [u32; 4] = [2_000, 8_000, 12_000, 16_000];
+
 /// What happens to an order in flight and to its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -35,6 +38,8 @@
     Drain { upstream: usize, draining: bool },
     /// The dispatcher becomes or ceases to be the owner of an upstream.
     Own { upstream: usize, owned: bool },
+    /// The capacity of an upstream shrinks or grows to this many thousandths of a core.
+    Resize { upstream: usize, cpu: u32 },
     /// The process of an upstream crashes, and another one starts at once.
     Crash { upstream: usize },
 }
@@ -48,6 +53,9 @@
             11 => Event::Cancel { job: u8::arbitrary(g) % JOBS },
             12 => Event::Drain { upstream, draining: bool::arbitrary(g) },
             13 => Event::Own { upstream, owned: u8::arbitrary(g) % 4 != 0 },
+            15 => {
+                Event::Resize { upstream, cpu: CAPACITIES[usize::arbitrary(g) % CAPACITIES.len()] }
+            }
             14 if u8::arbitrary(g) % 4 == 0 => Event::Crash { upstream },
             _ => Event::Order { which: usize::arbitrary(g), delivery: delivery(u8::arbitrary(g)) },
         }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -877,3 +877,29 @@
     assert_eq!(outcome(&effects), Some(Outcome::Failed));
     assert_eq!(stops(&effects).len(), 1);
 }
+
+#[test]
+fn a_suspect_does_not_start_on_an_upstream_that_has_shrunk_since_it_was_kept() {
+    let mut pool = pool(&["u1", "u2"]);
+    for id in ["deadly", "beside", "j0", "j1"] {
+        pool.submit(patient_job(id), at(100));
+    }
+    let started = starts(&pool.take_effects());
+    let (crashed, kept) = (started[0].0, started[3].0);
+    let row = |start: &Started| RunningRun { task: start.2.clone(), number: 1, percent: 1 };
+    let rows = started[2..].iter().map(row).collect();
+    pool.on_poll_failed(crashed, PollFailure::Refused, at(110));
+    // Renews the lease.
+    pool.on_poll_answer(kept, &listing(rows, Vec::new()), at(600), at(600));
+    pool.tick(at(830));
+    pool.take_effects();
+
+    let (name, _) = pool.upstream_address(kept).unwrap();
+    let capacity = Needs { cpu: TASK_CPU - 1, ..record("any").capacity };
+    pool.update_upstream(Record { capacity, ..record(name.as_str()) }, OWNED, at(840));
+    let ends = started[2..].iter().enumerate();
+    let ends = ends.map(|(n, start)| end(n as u64 + 1, &start.2, 1, RunEnd::Done)).collect();
+    pool.on_poll_answer(kept, &listing(Vec::new(), ends), at(850), at(850));
+
+    assert!(starts(&pool.take_effects()).is_empty());
+}
