Assume that an upstream which refused a start for want of capacity is full

Cause: a refusal only paused starts for 60 ms. That is right while runs of another dispatcher hold the capacity, and wrong if the upstream has shrunk: its record says so up to 2.5 s later. Change: without runs of others, the upstream counts as holding what its runs hold, until its record changes or 2.5 s have passed. A record that shows more is used at once. The load that is reported uses the same figure.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -234,7 +234,7 @@
         let mean_cpu = self.mean_cpu();
         for upstream in self.upstreams.values().filter(|upstream| upstream.is_usable(now)) {
             let weighted_millicore = upstream.speed.factor() / 1_000.0;
-            load.cores += f64::from(upstream.record.capacity.cpu) * weighted_millicore;
+            load.cores += f64::from(upstream.capacity.cpu) * weighted_millicore;
             load.busy_cores += f64::from(upstream.used.cpu) * weighted_millicore;
             if upstream.accepts_starts(now) {
                 load.free_slots += upstream.free().cpu / mean_cpu;
--- a/crates/heathertrack/src/pool/machine/isolate.rs
+++ b/crates/heathertrack/src/pool/machine/isolate.rs
@@ -116,10 +116,11 @@
     ) -> bool {
         let Some(upstream) = self.upstreams.get(upstream_key) else { return false };
         let Some(job) = self.jobs.get(key) else { return false };
-        if !upstream.is_idle() || now < upstream.no_starts_until {
+        let (step, index) = (task.step as usize, task.index as usize);
+        let needs = job.request.steps[step].needs;
+        if !upstream.is_idle() || !needs.fits(&upstream.free()) || now < upstream.no_starts_until {
             return false;
         }
-        let (step, index) = (task.step as usize, task.index as usize);
         let expected = self.expected_duration(job, &job.request.steps[step], upstream_key);
         self.start_run(key, step, index, upstream_key, expected, now)
     }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Pause of starts on an upstream that refused one for want of capacity: runs of another dispatcher
-/// hold it. About the duration of a short task.
+/// Pause of starts on an upstream that refused one for want of capacity while runs of another
+/// dispatcher hold some. About the duration of a short task.
 const NO_CAPACITY_PAUSE: Duration = Duration::from_millis(60);
 /// Increment of a task's run number after the upstream refused it as too low: an earlier submission
 /// of the job used a higher one.
@@ -48,10 +48,14 @@
                 self.poll_soon(upstream_key, now);
             }
             StartAnswer::NoRoom => {
+                self.discard_run(key, 0);
                 if let Some(upstream) = self.upstreams.get_mut(upstream_key) {
-                    upstream.no_starts_until = now + NO_CAPACITY_PAUSE;
+                    if upstream.foreign.runs.is_empty() {
+                        upstream.assume_full(now);
+                    } else {
+                        upstream.no_starts_until = now + NO_CAPACITY_PAUSE;
+                    }
                 }
-                self.discard_run(key, 0);
             }
             StartAnswer::OldNumber => self.discard_run(key, NUMBER_INCREMENT),
             StartAnswer::TooLate => self.discard_run(key, 0),
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -22,6 +22,7 @@
         self.end_expired_runs(now);
         self.poll_for_stopped(now);
         self.stop_stalled_runs(now);
+        self.upstreams.values_mut().for_each(|upstream| upstream.restore_capacity(now));
         let upstreams: Vec<UpstreamKey> = self.upstreams.keys().collect();
         for upstream in upstreams {
             self.poll(upstream, now);
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -29,7 +29,7 @@
             && upstream.started_ms.is_some()
             && record.started_ms > upstream.started_ms;
         let was_draining = upstream.record.draining;
-        upstream.record = record;
+        upstream.set_record(record);
         upstream.missing_since = None;
         if upstream.record.draining && !was_draining {
             self.log_upstream_state(key, "drains", now);
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -48,6 +48,10 @@
 /// Factor by which a lease lasts longer on the dispatcher's clock if the upstream's runs slowest.
 pub(super) const SLOW_CLOCK_FACTOR: f64 = 1.0 / MIN_CLOCK_RATE;
 
+/// Longest time until a change of an upstream's capacity is known from its record, which it writes
+/// every 1.5 s and dispatchers read about once a second.
+const RECORD_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Runs on an upstream that this dispatcher did not start.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ForeignRuns {
@@ -91,6 +95,11 @@
     /// which the end of an unknown run was first listed, and [`Time::ZERO`] for the end of a run of
     /// this dispatcher, which may be acknowledged at once.
     pub unacknowledged_ends: BTreeMap<u64, Time>,
+    /// Resources that it is assumed to have: those of its record, or less after it refused a start.
+    pub capacity: Needs,
+    /// Until when it is assumed to have less than its record says; the record may be older than a
+    /// change of its capacity.
+    pub shrunk_until: Option<Time>,
     /// Runs that this dispatcher started and that are not known to have ended.
     pub runs: Vec<RunKey>,
     /// Resources that these runs hold.
@@ -124,7 +133,7 @@
 
 impl Upstream {
     pub fn new(record: Record, now: Time) -> Self {
-        let started_ms = record.started_ms;
+        let (started_ms, capacity) = (record.started_ms, record.capacity);
         Upstream {
             record,
             ownership: Ownership::Released,
@@ -132,6 +141,8 @@
             started_ms,
             acknowledged: 0,
             unacknowledged_ends: BTreeMap::new(),
+            capacity,
+            shrunk_until: None,
             runs: Vec::new(),
             used: Needs::default(),
             isolated_for: None,
@@ -191,7 +202,34 @@
 
     /// Returns the free capacity.
     pub fn free(&self) -> Needs {
-        self.record.capacity.without(&self.used)
+        self.capacity.without(&self.used)
+    }
+
+    /// Replaces the record. A change of its capacity overrides what was assumed of it.
+    pub fn set_record(&mut self, record: Record) {
+        if record.capacity != self.record.capacity {
+            self.capacity = record.capacity;
+            self.shrunk_until = None;
+        }
+        self.record = record;
+    }
+
+    /// Records that a start was refused for want of capacity: it has no more than what its runs
+    /// hold, until its next record can be expected to be known.
+    ///
+    /// Addresses the load pattern "the capacity of upstreams shrinks while they run": each further
+    /// start that is refused would delay its task.
+    pub fn assume_full(&mut self, now: Time) {
+        self.capacity = self.used;
+        self.shrunk_until = Some(now + RECORD_DELAY);
+    }
+
+    /// Returns to the capacity of the record once a change of it would be known.
+    pub fn restore_capacity(&mut self, now: Time) {
+        if self.shrunk_until.is_some_and(|until| now >= until) {
+            self.capacity = self.record.capacity;
+            self.shrunk_until = None;
+        }
     }
 
     /// Returns whether runs may be started here now.
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -903,3 +903,52 @@
 
     assert!(starts(&pool.take_effects()).is_empty());
 }
+
+/// Returns a dispatcher whose only upstream runs the task of "j0" and has refused that of "j1" for
+/// want of capacity, at 110 ms.
+fn after_a_refused_start() -> Pool {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("j0"), at(100));
+    pool.submit(patient_job("j1"), at(100));
+    let started = starts(&pool.take_effects());
+    pool.on_start_answer(started[0].1, StartAnswer::Running, Some(5_001), at(101));
+    pool.on_start_answer(started[1].1, StartAnswer::NoRoom, Some(5_010), at(110));
+    pool
+}
+
+#[test]
+fn an_upstream_that_has_shrunk_is_not_asked_again_before_its_record_is_known() {
+    let mut pool = after_a_refused_start();
+
+    for ms in (120..600).step_by(20) {
+        pool.tick(at(ms));
+    }
+
+    assert!(starts(&pool.take_effects()).is_empty());
+}
+
+#[test]
+fn an_upstream_that_has_grown_again_is_used_as_soon_as_its_record_is_known() {
+    let mut pool = after_a_refused_start();
+    let capacity = Needs { cpu: 2 * TASK_CPU, ..record("u1").capacity };
+
+    pool.update_upstream(Record { capacity, ..record("u1") }, OWNED, at(200));
+    pool.tick(at(210));
+
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
+
+#[test]
+fn a_refused_start_takes_no_capacity_from_an_upstream_for_good() {
+    let mut pool = after_a_refused_start();
+    // Renews the lease of the run that goes on.
+    let task = Task { job: Id::new("j0"), occurrence: 0, step: 0, index: 0 };
+    for ms in (600..=2_700).step_by(300) {
+        let running = vec![RunningRun { task: task.clone(), number: 1, percent: ms as u32 / 30 }];
+        let upstream = polls(&pool.take_effects())[0];
+        pool.on_poll_answer(upstream, &listing(running, Vec::new()), at(ms), at(ms));
+        pool.tick(at(ms));
+    }
+
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
