--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -7,9 +7,7 @@
 use super::state::{Peer, Reply};
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
-use heathertrack::pool::{
-    Decision, Effect, JobKey, Loss, PollFailure, Pool, StartAnswer, UpstreamKey,
-};
+use heathertrack::pool::{Decision, Effect, JobKey, PollFailure, Pool, StartAnswer, UpstreamKey};
 use heathertrack_platform::{CallError, Poll, StartOrder, UpstreamClient};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,10 +30,11 @@
     /// Executes all pending effects of the pool.
     pub(super) fn run_effects(self: &Rc<Self>) {
         let effects = self.state.borrow_mut().pool.take_effects();
-        let mut losses = Vec::new();
+        // First, as a caller may submit its job to another dispatcher as soon as it is answered.
+        self.report_losses(&effects);
         for effect in effects {
             match effect {
-                Effect::ReportLoss(loss) => losses.push(loss),
+                Effect::ReportLoss(_) => {}
                 Effect::Start { upstream, run, task, number, spec, lease_end_ms } => {
                     let order = StartOrder { task, number, spec, lease_end_ms };
                     self.start_run(upstream, run, order);
@@ -66,21 +65,27 @@
                 }
             }
         }
-        if !losses.is_empty() {
-            self.report_losses(&losses);
-        }
     }
 
     /// Tells the hosts that dispatch, and those of this data centre, which may take over from this
     /// one, of runs that were lost with their upstreams.
-    fn report_losses(&self, losses: &[Loss]) {
+    fn report_losses(&self, effects: &[Effect]) {
+        let losses = || {
+            effects.iter().filter_map(|effect| match effect {
+                Effect::ReportLoss(loss) => Some(LossWire::from(loss)),
+                _ => None,
+            })
+        };
+        if losses().next().is_none() {
+            return;
+        }
         let state = self.state.borrow();
         let takes_them = |peer: &&Peer| {
             let is_near = peer.record.data_centre == self.record.data_centre;
             peer.takes_losses && (peer.is_dispatcher() || is_near)
         };
         for peer in state.peers.values().filter(takes_them) {
-            let losses = losses.iter().map(LossWire::from).collect();
+            let losses = losses().collect();
             if peer.frames.try_send(Frame::Losses { losses }).is_err() {
                 self.event_log.link_full(&peer.record.name);
             }
