Attribute stalls to the task that stalls on one upstream after another

What callers saw: nothing reported; found while looking for the cause of the crashing tasks elsewhere. A task that makes no progress on any upstream had each of them ejected for a second or more, one after another, until its caller's deadline. Cause: each stalled run ejected its upstream, and nothing counted the stalls of a task. Besides, a run on an upstream that doesn't respond counted as stalled, though nothing is known of its progress: a crash was logged as "ejected after stalled runs". Change: only a task's first stalled run ejects; after three its job is given up as one that may have run; runs on unresponsive upstreams don't count, and are left to their lease. Evidence: both new tests failed before (4 runs and 4 ejections instead of 3 and 1).

--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -156,6 +156,8 @@
     pub done: bool,
     /// Number of failed runs.
     pub failures: u32,
+    /// Number of stalled runs.
+    pub stalls: u32,
     /// Number of the last run; the next one gets a higher number.
     pub last_number: u32,
     /// Upstreams where one of its runs failed, was stopped, expired or disappeared.
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -14,6 +14,10 @@
 /// and 600 ms.
 const MIN_STALL: Duration = Duration::from_millis(600);
 
+/// Number of runs of one task that may stall before its job is given up. Runs on an upstream that
+/// stalls all its runs say nothing about the task, and another such upstream may follow.
+const MAX_STALLS: u32 = 3;
+
 impl Pool {
     /// Handles everything that depends on time alone. It has to be called every few tens of
     /// milliseconds while there are jobs or runs, and at least every second.
@@ -85,9 +89,13 @@
         }
     }
 
-    /// Stops stalled runs, so that their tasks can be started elsewhere.
+    /// Stops stalled runs, so that their tasks can be started elsewhere. While an upstream doesn't
+    /// respond, nothing is known of the progress there.
     fn stop_stalled_runs(&mut self, now: Time) {
         let is_stalled = |(_, run): &(RunKey, &Run)| {
+            if self.upstreams.get(run.upstream).is_none_or(|upstream| upstream.unresponsive) {
+                return false;
+            }
             let limit = (run.expected * STALL_FACTOR).max(MIN_STALL);
             run.state == RunState::Running
                 && now.since(run.ordered_at) > limit
@@ -96,16 +104,31 @@
         let keys: Vec<RunKey> = self.runs.iter().filter(is_stalled).map(|(key, _)| key).collect();
         for key in keys {
             let Some(run) = self.runs.get(key) else { continue };
-            let upstream_key = run.upstream;
-            if let Some(upstream) = self.upstreams.get_mut(upstream_key)
+            let (upstream_key, job_key) = (run.upstream, run.job);
+            let stalls = self.count_stall(key);
+            // A task that stalls on one upstream after another is itself the cause.
+            if stalls <= 1
+                && let Some(upstream) = self.upstreams.get_mut(upstream_key)
                 && upstream.health.stalled(now)
             {
                 self.log_upstream_state(upstream_key, "ejected after stalled runs", now);
             }
             self.stop(key);
+            if let Some(job_key) = job_key.filter(|_| stalls >= MAX_STALLS) {
+                self.give_up(job_key, "a task stalls wherever it runs", now);
+            }
         }
     }
 
+    /// Counts a stalled run of a task, and returns how many of its runs have stalled.
+    fn count_stall(&mut self, key: RunKey) -> u32 {
+        let Some(run) = self.runs.get(key) else { return 0 };
+        let Some(job) = run.job.and_then(|job| self.jobs.get_mut(job)) else { return 0 };
+        let task = &mut job.steps[run.task.step as usize][run.task.index as usize];
+        task.stalls += 1;
+        task.stalls
+    }
+
     /// Sets whether a competing dispatcher may use the same upstreams: a host without a link may be
     /// partitioned and go on dispatching. Returns whether that has changed.
     pub fn set_has_competitors(&mut self, has_competitors: bool) -> bool {
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -952,3 +952,58 @@
 
     assert_eq!(starts(&pool.take_effects()).len(), 1);
 }
+
+/// Returns the states of upstreams that were logged.
+fn upstream_states(effects: &[Effect]) -> Vec<&'static str> {
+    let state = |effect: &Effect| match effect {
+        Effect::Log(Decision::Upstream { state, .. }) => Some(*state),
+        _ => None,
+    };
+    effects.iter().filter_map(state).collect()
+}
+
+#[test]
+fn a_task_that_stalls_wherever_it_runs_does_not_eject_upstream_after_upstream() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+
+    let (mut runs, mut ejected, mut ended) = (0, 0, None);
+    let mut effects = pool.take_effects();
+    for round in 0..4 {
+        let from = 110 + round * 2_000;
+        for (upstream, run, task, number) in starts(&effects) {
+            runs += 1;
+            pool.on_start_answer(run, StartAnswer::Running, Some(5_000), at(from));
+            // The run is listed without progress, so that its lease is renewed.
+            for ms in (from + 100..from + 900).step_by(300) {
+                let row = RunningRun { task: task.clone(), number, percent: 0 };
+                pool.on_poll_answer(upstream, &listing(vec![row], Vec::new()), at(ms), at(ms));
+                pool.tick(at(ms));
+            }
+            pool.tick(at(from + 1_000));
+            let stalled = pool.take_effects();
+            let state = "ejected after stalled runs";
+            ejected += upstream_states(&stalled).iter().filter(|text| **text == state).count();
+            ended = ended.or(outcome(&stalled));
+            let ends = vec![end(1, &task, number, RunEnd::Stopped)];
+            let answered = at(from + 1_100);
+            pool.on_poll_answer(upstream, &listing(Vec::new(), ends), answered, answered);
+        }
+        effects = pool.take_effects();
+    }
+
+    assert_eq!((runs, ejected), (3, 1));
+    assert!(matches!(ended, Some(Outcome::MayHaveRun(_))), "{ended:?}");
+}
+
+#[test]
+fn an_upstream_that_does_not_respond_is_not_taken_for_one_that_stalls_its_runs() {
+    let (mut pool, (upstream, ..)) = running(&["u1", "u2"]);
+
+    pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(110));
+    pool.tick(at(800));
+
+    let effects = pool.take_effects();
+    assert_eq!(upstream_states(&effects), ["does not respond"]);
+    assert!(stops(&effects).is_empty());
+}
