--- a/crates/heathertrack_cli/src/explain/timeline.rs
+++ b/crates/heathertrack_cli/src/explain/timeline.rs
@@ -39,8 +39,14 @@
     }
 }
 
+/// Returns whether a line is about a job: by its `id`, or as the job of one of several `tasks`, whose
+/// names begin with that of their job.
 fn is_about(line: &Value, id: &str) -> bool {
+    let is_of_job = |task: &Value| {
+        task.as_str().and_then(|task| task.split_once('.')).is_some_and(|(job, _)| job == id)
+    };
     line["id"].as_str().is_some_and(|logged| logged == id || logged.ends_with(id))
+        || line["tasks"].as_array().is_some_and(|tasks| tasks.iter().any(is_of_job))
 }
 
 /// Returns the median difference between the time of day and the steady clock, or `None` if no line
--- a/crates/heathertrack_cli/tests/explain.rs
+++ b/crates/heathertrack_cli/tests/explain.rs
@@ -66,6 +66,24 @@
     });
 }
 
+#[test]
+fn a_job_that_crashes_upstreams_is_traced_to_its_task() {
+    const WORK_MS: u64 = 50;
+    block_on(async {
+        let site = Site::start(HOSTS, UPSTREAMS).await;
+        let job = site.deadly_job(TASKS, WORK_MS);
+        let task = format!("{}.0.0.0", job.0);
+
+        let (status, output) = submit_and_explain(&site, job).await;
+
+        assert_eq!(status, Some(200));
+        let text = stdout(&output);
+        let cause = format!("2 upstreams crashed under task {task}");
+        assert!(text.lines().last().unwrap_or_default().contains(&cause), "{text}");
+        assert_eq!(text.matches("runs_lost").count(), 2, "{text}");
+    });
+}
+
 #[test]
 fn a_late_job_is_traced_through_its_starts() {
     const WORK_MS: u64 = 280;
