Look only at suspects of jobs in progress when tasks are placed

After a common crash of many upstreams on a large fleet, each answer of an upstream cost its dispatcher a walk over all remembered losses. Cause: suspects were looked up among all tasks of the quarantine, up to 4,096, on each placement. Change: the dispatcher keeps the suspect tasks of its jobs in progress; a job's losses are looked at when it is submitted and when a loss is recorded or reported. A process that was replaced while draining counts as left in both places.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -20,7 +20,7 @@
 use crate::clock::Time;
 use crate::name;
 use slotmap::SlotMap;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// State of one dispatcher: its jobs, its upstreams and the runs on them.
@@ -38,6 +38,8 @@
     /// Number of ended runs for each variant of [`RunEnd`], in declaration order.
     end_counts: [u64; 5],
     quarantine: Quarantine,
+    /// Suspect tasks of jobs in progress, which are started apart from the others.
+    suspects: BTreeSet<Task>,
     /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
     /// order.
     loss_counts: [u64; LossCause::ALL.len()],
@@ -94,7 +96,7 @@
         self.jobs_by_id.insert(id, key);
         match refusal {
             _ if has_leftover_runs => self.give_up(key, "an earlier submission still runs", now),
-            _ if self.end_blocked(key, now) => {}
+            _ if self.check_losses(key, now) => {}
             Some((why, expected)) => self.refuse(key, why, expected, now),
             None => self.place(now),
         }
@@ -171,10 +173,11 @@
         self.finish(key, Outcome::MayHaveRun(why), now);
     }
 
-    /// Ends a job if one of its tasks must not be started again, as upstreams were lost under it.
-    /// Returns whether it did.
-    fn end_blocked(&mut self, key: JobKey, now: Time) -> bool {
+    /// Ends a job if one of its tasks must not be started again, as upstreams were lost under it,
+    /// and notes which of its tasks are suspects otherwise. Returns whether the job has ended.
+    fn check_losses(&mut self, key: JobKey, now: Time) -> bool {
         let Some(job) = self.jobs.get(key) else { return false };
+        self.suspects.extend(self.quarantine.suspects(&job.request.id, now));
         let blocked = self.quarantine.blocked_task(&job.request.id, now);
         let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
             return false;
--- a/crates/heathertrack/src/pool/machine/isolate.rs
+++ b/crates/heathertrack/src/pool/machine/isolate.rs
@@ -23,11 +23,15 @@
     pub(super) fn place_suspects(&mut self, now: Time) -> BTreeSet<Task> {
         let mut waiting = BTreeSet::new();
         self.release_isolated(now);
-        for task in self.quarantine.suspects(now) {
+        let (jobs, jobs_by_id) = (&self.jobs, &self.jobs_by_id);
+        self.suspects.retain(|task| jobs_by_id.contains_key(&task.job));
+        let startable = |task: &&Task| {
+            let job = jobs_by_id.get(&task.job).and_then(|key| jobs.get(*key));
+            job.is_some_and(|job| job.is_startable(task))
+        };
+        let startable: Vec<Task> = self.suspects.iter().filter(startable).cloned().collect();
+        for task in startable {
             let Some(key) = self.jobs_by_id.get(&task.job).copied() else { continue };
-            if !self.jobs.get(key).is_some_and(|job| job.is_startable(&task)) {
-                continue;
-            }
             let is_started = match self.isolate(key, &task, now) {
                 Some(upstream) => self.start_isolated(key, &task, upstream, now),
                 None if self.quarantine.has_convicted(now) => false,
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -3,9 +3,7 @@
 use crate::clock::Time;
 use crate::pool::run::RunState;
 use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR};
-use crate::pool::{
-    Decision, Effect, EndedRun, Listing, LossCause, PollFailure, RunEnd, RunKey, UpstreamKey,
-};
+use crate::pool::{Decision, Effect, EndedRun, Listing, PollFailure, RunEnd, RunKey, UpstreamKey};
 use std::time::Duration;
 
 /// Time for which the end of an unknown run, one that this dispatcher doesn't follow, is left
@@ -134,7 +132,7 @@
         };
         let over = upstream.runs.iter().copied().filter(is_over);
         let (absent, lost): (Vec<RunKey>, Vec<RunKey>) = over.partition(of_same_process);
-        self.lose_runs(key, lost, LossCause::Replaced, RunEnd::Disappeared, now);
+        self.lose_runs(key, lost, upstream.replacement_cause(), RunEnd::Disappeared, now);
         for run in absent {
             self.end_run(run, RunEnd::Disappeared, now);
         }
@@ -183,11 +181,8 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.clock = None;
         upstream.lease_expiry = now;
-        if !upstream.record.draining {
-            self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
-        }
-        let runs = upstream.runs.clone();
-        let cause = if upstream.record.draining { LossCause::Left } else { LossCause::Replaced };
+        self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
+        let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause());
         self.lose_runs(key, runs, cause, RunEnd::Disappeared, now);
     }
 
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -216,7 +216,7 @@
             self.end_run(run, how, now);
         }
         for job in jobs {
-            self.end_blocked(job, now);
+            self.check_losses(job, now);
         }
     }
 
@@ -226,7 +226,7 @@
         let job = |task: &Task| self.jobs_by_id.get(&task.job).copied();
         let jobs: BTreeSet<JobKey> = loss.tasks.iter().filter_map(job).collect();
         for job in jobs {
-            self.end_blocked(job, now);
+            self.check_losses(job, now);
         }
     }
 
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -138,17 +138,22 @@
         self.last_conviction.is_some_and(|at| now.since(at) < CONVICTION_SPAN)
     }
 
-    /// Returns the tasks that may have caused a crash, but may be started again.
-    pub fn suspects(&self, now: Time) -> Vec<Task> {
-        let suspects = self.entries.iter().filter(|(_, e)| e.verdict(now) == Verdict::Suspect);
-        suspects.map(|(task, _)| task.clone()).collect()
+    /// Returns the tasks of a job that may have caused a crash, but may be started again.
+    pub fn suspects(&self, job: &Id, now: Time) -> impl Iterator<Item = Task> {
+        let verdicts = self.verdicts(job, now);
+        verdicts.filter(|(_, verdict)| *verdict == Verdict::Suspect).map(|(task, _)| task.clone())
+    }
+
+    /// Returns what is known of the tasks of a job that have losses.
+    fn verdicts(&self, job: &Id, now: Time) -> impl Iterator<Item = (&Task, Verdict)> {
+        let first = Task { job: job.clone(), occurrence: 0, step: 0, index: 0 };
+        let of_job = self.entries.range(first..).take_while(move |(task, _)| task.job == *job);
+        of_job.map(move |(task, entry)| (task, entry.verdict(now)))
     }
 
     /// Returns the task of a job with the worst verdict, if any of its tasks must not be started.
     pub fn blocked_task(&self, job: &Id, now: Time) -> Option<(&Task, Verdict)> {
-        let first = Task { job: job.clone(), occurrence: 0, step: 0, index: 0 };
-        let of_job = self.entries.range(first..).take_while(|(task, _)| task.job == *job);
-        let verdicts = of_job.map(|(task, entry)| (task, entry.verdict(now)));
+        let verdicts = self.verdicts(job, now);
         verdicts
             .filter(|(_, verdict)| *verdict >= Verdict::Lost)
             .max_by_key(|(_, verdict)| *verdict)
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -178,6 +178,12 @@
         self.failed_polls = 0;
     }
 
+    /// Returns what is known of the process with which the runs here were lost, as another one has
+    /// answered.
+    pub fn replacement_cause(&self) -> LossCause {
+        if self.record.draining { LossCause::Left } else { LossCause::Replaced }
+    }
+
     /// Returns what is known of the process with which the runs here were lost, if it has not been
     /// replaced.
     pub fn loss_cause(&self) -> LossCause {
