Forget losses a minute after they happened, however often they are reported

What callers saw: nothing yet; read in the diff. Hosts tell each other what they remember on each new link; two hosts that restart by turns could keep a job's losses for as long as they do. Cause: each report counted as a new loss for the time of retention. Change: only a process that was not known before extends it. Evidence: pool::a_loss_that_is_reported_again_and_again_is_forgotten_after_a_minute; with the line of before it counts one task at 63 s.

--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -91,9 +91,11 @@
                 .entries
                 .entry(task.clone())
                 .or_insert_with(|| Entry { losses: BTreeMap::new(), last_loss: now });
-            entry.last_loss = now;
-            let cause = entry.losses.entry(process.clone()).or_insert(loss.cause);
-            *cause = loss.cause.max(*cause);
+            let before = entry.losses.get(&process).copied();
+            entry.losses.insert(process.clone(), before.unwrap_or(loss.cause).max(loss.cause));
+            if before.is_none() {
+                entry.last_loss = now;
+            }
             if entry.verdict(now) == Verdict::Crashing {
                 self.last_conviction = Some(now);
             }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -862,6 +862,19 @@
     assert_eq!(starts(&next.take_effects()).len(), 1);
 }
 
+/// Hosts tell each other what they remember on every new link.
+#[test]
+fn a_loss_that_is_reported_again_and_again_is_forgotten_after_a_minute() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+
+    next.on_loss_report(&losses[0], at(2_000));
+    next.on_loss_report(&losses[0], at(60_000));
+
+    assert_eq!(next.quarantined_tasks(at(61_000)), 1);
+    assert_eq!(next.quarantined_tasks(at(63_000)), 0);
+}
+
 #[test]
 fn a_job_in_progress_ends_when_another_dispatcher_reports_that_it_crashes_upstreams() {
     let losses = reports_of_two_crashes();
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -7,7 +7,9 @@
 use super::state::{Peer, Reply};
 use heathertrack::clock::Time;
 use heathertrack::pool::job::Outcome;
-use heathertrack::pool::{Decision, Effect, JobKey, PollFailure, Pool, StartAnswer, UpstreamKey};
+use heathertrack::pool::{
+    Decision, Effect, JobKey, Loss, PollFailure, Pool, StartAnswer, UpstreamKey,
+};
 use heathertrack_platform::{CallError, Poll, StartOrder, UpstreamClient};
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,13 +72,12 @@
     /// Tells the hosts that dispatch, and those of this data centre, which may take over from this
     /// one, of runs that were lost with their upstreams.
     fn report_losses(&self, effects: &[Effect]) {
-        let losses = || {
-            effects.iter().filter_map(|effect| match effect {
-                Effect::ReportLoss(loss) => Some(LossWire::from(loss)),
-                _ => None,
-            })
+        let loss = |effect: &Effect| match effect {
+            Effect::ReportLoss(loss) => Some(loss.clone()),
+            _ => None,
         };
-        if losses().next().is_none() {
+        let losses: Vec<Loss> = effects.iter().filter_map(loss).collect();
+        if losses.is_empty() {
             return;
         }
         let state = self.state.borrow();
@@ -85,7 +86,7 @@
             peer.takes_losses && (peer.is_dispatcher() || is_near)
         };
         for peer in state.peers.values().filter(takes_them) {
-            let losses = losses().collect();
+            let losses = losses.iter().map(LossWire::from).collect();
             if peer.frames.try_send(Frame::Losses { losses }).is_err() {
                 self.event_log.link_full(&peer.record.name);
             }
