Review: runs of a host that dies behind a cut are kept alive

Cause: a host that renews a minion's lease keeps unknown runs there alive, also those of a host to which it has no link. Only the end of a link lets them expire.

--- a/review/stand_in/src/json.rs
+++ b/review/stand_in/src/json.rs
@@ -149,3 +149,26 @@
     }
     text
 }
+
+/// Decodes the base64 text of a value that is UTF-8, as the entries of hosts are.
+pub fn from_base64(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let (mut word, mut bits) = (0u32, 0);
+    for byte in text.bytes() {
+        let digit = match byte {
+            b'A'..=b'Z' => byte - b'A',
+            b'a'..=b'z' => byte - b'a' + 26,
+            b'0'..=b'9' => byte - b'0' + 52,
+            b'+' => 62,
+            b'/' => 63,
+            _ => continue,
+        };
+        word = word << 6 | u32::from(digit);
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/review/stand_in/src/main.rs
+++ b/review/stand_in/src/main.rs
@@ -6,10 +6,12 @@
 mod handover;
 mod host;
 mod http;
+mod isolated;
 mod json;
 mod minion;
 mod paths;
 mod record;
+mod relay;
 mod site;
 mod store;
 
@@ -40,6 +42,7 @@
     });
     let verdict: Verdict = match scenario.as_str() {
         "cancel" => cancel::run(&record, trouble),
+        "isolated" => isolated::run(&record, trouble),
         "paths" => paths::run(&record, trouble),
         "handover" => handover::run(&record, trouble),
         _ => None,
--- a/review/stand_in/src/site.rs
+++ b/review/stand_in/src/site.rs
@@ -4,6 +4,7 @@
 use crate::http::{Answer, call};
 use crate::minion::Minion;
 use crate::record::Record;
+use crate::relay::Relay;
 use crate::store::Store;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -35,11 +36,24 @@
     random: AtomicU64,
     stopped: AtomicBool,
     directory: PathBuf,
+    /// Relays between the spare host and each other host, in both directions.
+    relays: Vec<Arc<Relay>>,
 }
 
 impl Site {
     /// Starts a deployment and waits until it serves; `None` if it does not.
     pub fn start(record: &Record) -> Option<Arc<Site>> {
+        Self::start_with(record, 0)
+    }
+
+    /// The same with a spare host in the first zone, with the index [`HOSTS`]. It is not started,
+    /// and its links to the other hosts pass through relays.
+    pub fn start_with_spare(record: &Record) -> Option<Arc<Site>> {
+        Self::start_with(record, 1)
+    }
+
+    fn start_with(record: &Record, spares: usize) -> Option<Arc<Site>> {
+        let count = HOSTS + spares;
         let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |at| at.as_nanos() as u64);
         let seed = seed ^ (u64::from(std::process::id()) << 40) | 1;
         let directory = std::env::temp_dir().join(format!("review-{seed:x}"));
@@ -56,32 +70,50 @@
             for index in 0..MINIONS_PER_ZONE {
                 let id = format!("i-{zone_index}{index}{:04x}", seed as u16);
                 let ip = ip(100 + (zone_index * MINIONS_PER_ZONE + index) as u8);
-                let listeners = (0..HOSTS).map(|_| bind(ip)).collect();
+                let listeners = (0..count).map(|_| bind(ip)).collect();
                 let rack = format!("r{zone_index}-1");
                 minions.push(Minion::start(&id, zone, &rack, listeners, &store, record));
             }
         }
         store.put("op/config", &configuration());
 
-        let places: Vec<(&str, Addresses)> = (0..HOSTS)
+        let places: Vec<(&str, Addresses)> = (0..count)
             .map(|index| {
                 let ip = ip(10 + index as u8);
                 let free = || bind(ip).local_addr().expect("a listener has an address");
                 let (front, ready, control) = (free(), free(), free());
-                (ZONES[index / HOSTS_PER_ZONE], Addresses { ip, front, ready, control })
+                (ZONES[index / HOSTS_PER_ZONE % ZONES.len()], Addresses { ip, front, ready, control })
             })
             .collect();
+        let controls: Vec<SocketAddr> = places.iter().map(|(_, place)| place.control).collect();
         let seeds: Vec<SocketAddr> =
-            places.iter().step_by(HOSTS_PER_ZONE).map(|(_, addresses)| addresses.control).collect();
+            controls[..HOSTS].iter().step_by(HOSTS_PER_ZONE).copied().collect();
+        let mut relays = Vec::new();
+        let mut spare_seeds = Vec::new();
+        for spare in HOSTS..count {
+            for other in 0..HOSTS {
+                let to_other = Relay::start(ip(2), controls[other]);
+                let to_spare = Relay::start(ip(2), controls[spare]);
+                store.set_route(spare, controls[other], to_other.address);
+                store.set_route(other, controls[spare], to_spare.address);
+                if seeds.contains(&controls[other]) {
+                    spare_seeds.push(to_other.address);
+                }
+                relays.extend([to_other, to_spare]);
+            }
+        }
         let hosts: Vec<Host> = places
             .iter()
             .enumerate()
             .map(|(index, (zone, addresses))| {
-                let name = format!("edge-{zone}-{}", index % HOSTS_PER_ZONE + 1);
+                let is_spare = index >= HOSTS;
+                let number = if is_spare { index - HOSTS + 3 } else { index % HOSTS_PER_ZONE + 1 };
+                let name = format!("edge-{zone}-{number}");
+                let seeds = if is_spare { &spare_seeds } else { &seeds };
                 let listener = bind(ip(1));
                 let store_address = listener.local_addr().expect("a listener has an address");
                 store.serve(listener, index);
-                Host::prepare(&name, zone, &ZONES, addresses, &seeds, store_address, &directory)
+                Host::prepare(&name, zone, &ZONES, addresses, seeds, store_address, &directory)
             })
             .collect();
         let misses = hosts.iter().map(|_| Mutex::new(MAX_MISSES)).collect();
@@ -93,8 +125,9 @@
             random: AtomicU64::new(seed),
             stopped: AtomicBool::new(false),
             directory,
+            relays,
         });
-        for host in &site.hosts {
+        for host in &site.hosts[..HOSTS] {
             host.start().ok()?;
         }
         for index in 0..site.hosts.len() {
@@ -102,7 +135,7 @@
             thread::spawn(move || site.check(index));
         }
         let end = Instant::now() + START_TIMEOUT;
-        while (0..site.hosts.len()).any(|index| !site.in_rotation(index)) {
+        while (0..HOSTS).any(|index| !site.in_rotation(index)) {
             if Instant::now() > end {
                 record.note("the hosts did not become ready");
                 return None;
@@ -129,6 +162,11 @@
         *self.misses[index].lock().unwrap() < MAX_MISSES
     }
 
+    /// Cuts or restores the links between the spare host and the other hosts.
+    pub fn set_spare_cut(&self, cut: bool) {
+        self.relays.iter().for_each(|relay| relay.set_cut(cut));
+    }
+
     /// Returns a number below `limit`.
     pub fn draw(&self, limit: usize) -> usize {
         let mut word = self.random.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
@@ -221,9 +259,14 @@
 /// Returns the body of a job of one step. Its tasks need 6.8 of a minion's 16 cores each, and each
 /// runs on a minion of its own.
 pub fn job(tasks: u32, work_ms: u64) -> String {
+    job_with_cpu(tasks, work_ms, 6_800)
+}
+
+/// The same with tasks that need `cpu` thousandths of a core each.
+pub fn job_with_cpu(tasks: u32, work_ms: u64, cpu: u32) -> String {
     format!(
-        "{{\"spec\":\"work_ms={work_ms} cpu=6800\",\"best_effort\":true,\"steps\":[\
-         {{\"count\":{tasks},\"cpu\":6800,\"mem_mb\":64,\"estimate_ms\":{work_ms},\
+        "{{\"spec\":\"work_ms={work_ms} cpu={cpu}\",\"best_effort\":true,\"steps\":[\
+         {{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":64,\"estimate_ms\":{work_ms},\
          \"max_per_server\":1}}]}}"
     )
 }
--- a/review/stand_in/src/store.rs
+++ b/review/stand_in/src/store.rs
@@ -1,12 +1,13 @@
 //! Stand-in of the platform's metadata store.
 //!
 //! Each entry host has a path of its own to each minion, so that one can be cut: the entries of
-//! minions name the address of the path of the host that reads them.
+//! minions name the address of the path of the host that reads them. In the same way the entries of
+//! hosts name the relay between the host that reads them and the host of the entry, if there is one.
 
 use crate::http::{Request, serve};
-use crate::json::{Json, base64};
+use crate::json::{Json, base64, from_base64};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,6 +19,9 @@
 /// Longest lease that is granted.
 const TTL_MAX: Duration = Duration::from_secs(600);
 
+/// Address that sorts before all others.
+const MIN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Text that stands for the address of a minion in its entry.
 pub const ADDRESS: &str = "@address@";
 
@@ -47,6 +51,8 @@
     last_lease: u64,
     /// Addresses of each minion by the key of its entry, one for each host.
     paths: BTreeMap<String, Vec<SocketAddr>>,
+    /// Relays by the index of the host that reads and the address to which they lead.
+    routes: BTreeMap<(usize, SocketAddr), SocketAddr>,
 }
 
 #[derive(Clone, Default)]
@@ -84,6 +90,11 @@
         self.shared.0.lock().unwrap().paths.insert(key.to_owned(), addresses);
     }
 
+    /// Lets a host read the address of a relay where another host has written its own address.
+    pub fn set_route(&self, host: usize, own: SocketAddr, relay: SocketAddr) {
+        self.shared.0.lock().unwrap().routes.insert((host, own), relay);
+    }
+
     fn end_expired_leases(&self) {
         let mut state = self.shared.0.lock().unwrap();
         let now = Instant::now();
@@ -224,11 +235,20 @@
         (200, format!("{{\"revision\":{}}}", self.revision))
     }
 
+    /// Returns a value with the addresses replaced for which this host has a relay.
+    fn routed(&self, base64_text: &str, host: usize) -> String {
+        let mut text = from_base64(base64_text);
+        for ((_, own), relay) in self.routes.range((host, MIN_ADDRESS)..(host + 1, MIN_ADDRESS)) {
+            text = text.replace(&format!("\"{own}\""), &format!("\"{relay}\""));
+        }
+        base64(text.as_bytes())
+    }
+
     /// Returns an item as the host with this index reads it.
     fn row(&self, key: &str, item: &Item, host: usize) -> String {
         let Item { revision, created, lease, .. } = item;
         let value = match &item.value {
-            Some(Value::Base64(text)) => text.clone(),
+            Some(Value::Base64(text)) => self.routed(text, host),
             Some(Value::Plain(text)) => {
                 let path = self.paths.get(key).and_then(|paths| paths.get(host));
                 let path = path.map(SocketAddr::to_string).unwrap_or_default();
