--- a/review/stand_in/src/site.rs
+++ b/review/stand_in/src/site.rs
@@ -17,7 +17,7 @@
 const HOSTS_PER_ZONE: usize = 2;
 pub const HOSTS: usize = ZONES.len() * HOSTS_PER_ZONE;
 pub const MINIONS_PER_ZONE: usize = 6;
-const HOST_HEADER: &str = "nony24.example";
+pub const HOST_HEADER: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
 /// Pause of a client before it sends a job again (`resend_ms`).
 pub const RESEND: Duration = Duration::from_millis(1_300);
