Review: runs that a killed host has just started are kept alive

Cause: a leaving host decides from lists that are up to 300 ms old whether a lost host had runs on the same upstreams.

--- a/review/stand_in/src/main.rs
+++ b/review/stand_in/src/main.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod site;
 mod store;
+mod successor;
 
 use record::Record;
 use std::path::PathBuf;
@@ -43,6 +44,7 @@
     let verdict: Verdict = match scenario.as_str() {
         "cancel" => cancel::run(&record, trouble),
         "isolated" => isolated::run(&record, trouble),
+        "successor" => successor::run(&record, trouble),
         "paths" => paths::run(&record, trouble),
         "handover" => handover::run(&record, trouble),
         _ => None,
