--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review_stand_in
 [ -x "$program" ] || exit 2
-exec "$program" cancel review/3/record.txt
+exec "$program" successor review/3/record.txt
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review_stand_in
 [ -x "$program" ] || exit 2
-exec "$program" successor review/5/record.txt
+exec "$program" isolated review/5/record.txt
