--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -145,6 +145,11 @@
     RunsLost {
         /// The runs, and what is known of the process.
         loss: Loss,
+        /// Those of its tasks whose runs are known to have begun.
+        begun: Vec<Task>,
+        /// Number of other upstreams that stopped responding at the same time, and still don't
+        /// respond.
+        stopped_with_it: usize,
         /// Time since the upstream's last answer.
         age: Duration,
     },
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -29,8 +29,7 @@
     pub fn on_poll_answer(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.polls_in_flight = upstream.polls_in_flight.saturating_sub(1);
-        if upstream.unresponsive {
-            upstream.unresponsive = false;
+        if upstream.unresponsive_since.take().is_some() {
             self.log_upstream_state(key, "responds again", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
@@ -191,8 +190,8 @@
     pub(super) fn mark_unresponsive(&mut self, key: UpstreamKey, now: Time) {
         self.short_polls_until = now + self.options.short_poll_span;
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        if !upstream.unresponsive {
-            upstream.unresponsive = true;
+        if upstream.unresponsive_since.is_none() {
+            upstream.unresponsive_since = Some(now);
             upstream.poll_due = now;
             self.log_upstream_state(key, "does not respond", now);
         }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -3,6 +3,7 @@
 use crate::pool::job::Outcome;
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
+use crate::pool::upstream::Upstream;
 use crate::pool::{
     Decision, Effect, JobKey, Loss, LossCause, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
 };
@@ -18,6 +19,12 @@
 /// Number of unanswered orders to stop a run after which the lease of its upstream is no longer
 /// renewed, so that the run ends with it.
 pub(super) const MAX_UNANSWERED_STOPS: u32 = 2;
+/// Time within which crashes at one instant are noticed: connections close at once, and are handled
+/// as soon as the process has its turn on the CPU.
+const CRASH_NOTICE_SPAN: Duration = Duration::from_millis(50);
+/// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
+/// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
+const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
 /// Shortest duration whose logarithm is learned, in seconds: the logarithm of zero is infinite.
 const MIN_LEARNED_S: f64 = 1e-4;
 
@@ -200,6 +207,7 @@
     ) {
         let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
         let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
+        let begun = lost().filter(|run| run.seen_running).map(|run| run.task.clone()).collect();
         let started_ms = lost().next().and_then(|run| run.process_started_ms);
         let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
@@ -210,7 +218,9 @@
             let loss = Loss { upstream: upstream.record.name.clone(), started_ms, cause, tasks };
             self.quarantine.record(&loss, now);
             self.effects.push(Effect::ReportLoss(loss.clone()));
-            self.effects.push(Effect::Log(Decision::RunsLost { loss, age }));
+            let stopped_with_it = self.count_stopped_with(key, cause);
+            let lost = Decision::RunsLost { loss, begun, stopped_with_it, age };
+            self.effects.push(Effect::Log(lost));
         }
         for run in runs {
             self.end_run(run, how, now);
@@ -220,6 +230,17 @@
         }
     }
 
+    /// Returns how many other upstreams stopped responding at the same time as this one, and still
+    /// don't respond.
+    fn count_stopped_with(&self, key: UpstreamKey, cause: LossCause) -> usize {
+        let stopped_at = |upstream: &Upstream| upstream.unresponsive_since;
+        let Some(at) = self.upstreams.get(key).and_then(stopped_at) else { return 0 };
+        let span = if cause.is_crash() { CRASH_NOTICE_SPAN } else { SILENCE_NOTICE_SPAN };
+        let is_close = |other: Time| other.since(at) <= span && at.since(other) <= span;
+        let others = self.upstreams.iter().filter(|(other, _)| *other != key);
+        others.filter_map(|(_, upstream)| stopped_at(upstream)).filter(|at| is_close(*at)).count()
+    }
+
     /// Handles another dispatcher's report of a loss.
     pub fn on_loss_report(&mut self, loss: &Loss, now: Time) {
         self.quarantine.record(loss, now);
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -93,7 +93,8 @@
     /// respond, nothing is known of the progress there.
     fn stop_stalled_runs(&mut self, now: Time) {
         let is_stalled = |(_, run): &(RunKey, &Run)| {
-            if self.upstreams.get(run.upstream).is_none_or(|upstream| upstream.unresponsive) {
+            let upstream = self.upstreams.get(run.upstream);
+            if upstream.is_none_or(|upstream| upstream.unresponsive_since.is_some()) {
                 return false;
             }
             let limit = (run.expected * STALL_FACTOR).max(MIN_STALL);
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -115,8 +115,8 @@
     pub lease_expiry: Time,
     /// Number of failed polls in a row.
     pub failed_polls: u32,
-    /// Whether an order or a poll has failed since the last answer.
-    pub unresponsive: bool,
+    /// When an order or a poll first failed since the last answer, if one has.
+    pub unresponsive_since: Option<Time>,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -151,7 +151,7 @@
             poll_due: now,
             lease_expiry: now,
             failed_polls: 0,
-            unresponsive: false,
+            unresponsive_since: None,
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
@@ -173,7 +173,7 @@
     pub fn record_clock(&mut self, clock_ms: u64, now: Time) {
         self.clock = Some(ClockSample { clock_ms, at: now });
         self.last_answer = now;
-        self.unresponsive = false;
+        self.unresponsive_since = None;
         self.refuses_connections = false;
         self.failed_polls = 0;
     }
@@ -251,7 +251,7 @@
     pub fn is_usable(&self, now: Time) -> bool {
         self.ownership == Ownership::Owned
             && !self.record.draining
-            && !self.unresponsive
+            && self.unresponsive_since.is_none()
             && self.clock.is_some()
             && self.missing_since.is_none()
             && !self.health.is_ejected(now)
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -319,12 +319,14 @@
                 json!({ "id": task.job.as_str(), "task": task.to_string(), "crashes": crashes,
                     "losses": losses }),
             ),
-            Decision::RunsLost { loss, age } => {
+            Decision::RunsLost { loss, begun, stopped_with_it, age } => {
                 let tasks: Vec<String> = loss.tasks.iter().map(Task::to_string).collect();
+                let begun: Vec<String> = begun.iter().map(Task::to_string).collect();
                 self.write(
                     "runs_lost",
                     json!({ "upstream": loss.upstream.as_str(), "started_ms": loss.started_ms,
-                        "cause": loss.cause.name(), "tasks": tasks, "age_ms": ms(*age) }),
+                        "cause": loss.cause.name(), "tasks": tasks, "begun": begun,
+                        "stopped_with_it": stopped_with_it, "age_ms": ms(*age) }),
                 );
             }
             Decision::Upstream { upstream, state, age } => self.write(
