--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -21,6 +21,11 @@
     Freeze { host: usize, span: Duration },
     /// A host is shut down gracefully, and starts again shortly after.
     Stop { host: usize },
+    /// A host is shut down gracefully, is killed after `after`, before it has stopped, and starts
+    /// again after `down`.
+    KillWhileStopping { host: usize, after: Duration, down: Duration },
+    /// A host is partitioned from all other hosts, but not from upstreams and the store.
+    IsolateHost { host: usize, span: Duration },
     /// Messages from one host to another are lost.
     CutHosts { from: usize, to: usize, span: Duration },
     /// Messages from a host to a share of the upstreams are lost, or with `back` those from the
@@ -105,6 +110,8 @@
             | FaultKind::Power { host, .. }
             | FaultKind::Freeze { host, .. }
             | FaultKind::Stop { host }
+            | FaultKind::KillWhileStopping { host, .. }
+            | FaultKind::IsolateHost { host, .. }
             | FaultKind::CutUpstreams { host, .. }
             | FaultKind::ResetUpstreams { host, .. } => Target::Host(host),
             FaultKind::CutHosts { from, to, .. } => Target::Hosts(from, to),
--- a/crates/heathertrack_model/src/pattern/fault.rs
+++ b/crates/heathertrack_model/src/pattern/fault.rs
@@ -24,6 +24,8 @@
     KillAll { down_s: f64 },
     Freeze { host: usize, span_s: f64 },
     Stop { host: usize },
+    KillWhileStopping { host: usize, after_s: f64, down_s: f64 },
+    IsolateHost { host: usize, span_s: f64 },
     CutHosts { from: usize, to: usize, span_s: f64 },
     CutUpstreams { host: usize, share: f64, back: bool, span_s: f64 },
     ResetUpstreams { host: usize, share: f64, span_s: f64 },
@@ -63,6 +65,13 @@
             KindEntry::KillAll { down_s } => FaultKind::KillAll { down: down(down_s)? },
             KindEntry::Freeze { host, span_s } => FaultKind::Freeze { host, span: span(span_s)? },
             KindEntry::Stop { host } => FaultKind::Stop { host },
+            KindEntry::KillWhileStopping { host, after_s, down_s } => {
+                let after = seconds("after_s", after_s)?;
+                FaultKind::KillWhileStopping { host, after, down: down(down_s)? }
+            }
+            KindEntry::IsolateHost { host, span_s } => {
+                FaultKind::IsolateHost { host, span: span(span_s)? }
+            }
             KindEntry::CutHosts { from, to, span_s } => {
                 FaultKind::CutHosts { from, to, span: span(span_s)? }
             }
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -3,6 +3,7 @@
 use super::{STOP_GRACE, World};
 use crate::fault::{Fault, FaultKind};
 use crate::network::Node;
+use crate::process::Process;
 use crate::upstream::Misbehaviour;
 use heathertrack::pool::upstream::Record;
 use heathertrack_platform::DecodedItem;
@@ -30,6 +31,24 @@
         }
         FaultKind::Freeze { host, span } => world.suspend(host, span).await,
         FaultKind::Stop { host } => world.stop(host).await,
+        FaultKind::KillWhileStopping { host, after, down } => {
+            // The stop ends with its process.
+            spawn_local({
+                let world = world.clone();
+                async move { world.begin_stop(host).await }
+            });
+            sleep(after).await;
+            world.kill(&[host], /* power: */ false, down).await;
+        }
+        FaultKind::IsolateHost { host, span } => {
+            let others = (0..world.plan.site.hosts()).filter(|other| *other != host);
+            let both = |other| {
+                let (one, other) = (Node::Host(host), Node::Host(other));
+                [(one, other), (other, one)]
+            };
+            let paths: Vec<_> = others.flat_map(both).collect();
+            world.partition(&paths, span).await;
+        }
         FaultKind::CutHosts { from, to, span } => {
             world.partition(&[(Node::Host(from), Node::Host(to))], span).await;
         }
@@ -143,19 +162,26 @@
     }
 
     async fn stop(&self, host: usize) {
+        let Some(process) = self.begin_stop(host).await else { return };
+        process.kill();
+        sleep(Duration::from_millis(300)).await;
+        self.start_host(host);
+    }
+
+    /// Shuts a host down and returns its process once it has stopped, or at the end of its grace
+    /// period.
+    async fn begin_stop(&self, host: usize) -> Option<Process> {
         let (process, entry) = {
             let mut machines = self.machines.borrow_mut();
             let machine = &mut machines[host];
             machine.stopping = true;
             (machine.process.clone(), machine.entry.borrow().clone())
         };
-        let Some(entry) = entry else { return };
+        let entry = entry?;
         let stopped = process.spawn(async move { entry.stop().await });
         // A host that does not stop within its grace period is killed.
         let _ = timeout(STOP_GRACE, stopped).await;
-        process.kill();
-        sleep(Duration::from_millis(300)).await;
-        self.start_host(host);
+        Some(process)
     }
 
     /// Returns the paths from a host to a share of the upstreams.
