Renew a lease only while a live host follows every listed run

A lease covers everything that runs on an upstream, and three decisions took other hosts' runs for those of a live host: after a handover all of them, until a link ended that had not announced a stop; on a released upstream all that no list had shown yet; without a link all that outlived a lease. Renewals by the one then kept the runs of the other alive after its end.

A host that releases an upstream names its runs there to the owner, once for each owner and link (`Frame::Rosters`). A listed run that is neither a host's own nor on the roster of a host with a link is a stray; with strays there is no renewal and no start. The end of any link, planned or not, ends the rosters of that host. A former owner has no roster of the owner, so only one of the two renews. A start renews too: for two leases after the loss of a dispatcher, and while a known host has no link, it needs a list of the last 400 ms.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -11,6 +11,7 @@
 use super::job::{Id, Job, Outcome, Request};
 use super::order::Rank;
 use super::quarantine::{Quarantine, Verdict};
+use super::roster::Rosters;
 use super::run::{Run, RunState};
 use super::upstream::Upstream;
 use super::{
@@ -45,9 +46,15 @@
     loss_counts: [u64; LossCause::ALL.len()],
     /// Until this instant, polls use [`Options::short_poll_wait`].
     short_polls_until: Time,
-    /// Upstreams that a live dispatcher has handed over before they were assigned to this one, with
-    /// the time of the message.
+    /// Upstreams that a live dispatcher of an earlier release has handed over before they were
+    /// assigned to this one, with the time of the message.
     handovers: BTreeMap<name::Upstream, Time>,
+    /// Runs that other live hosts follow.
+    rosters: Rosters,
+    /// Whether the rosters that other hosts have from this one hold runs that have to expire.
+    has_stale_rosters: bool,
+    /// Until this instant, a host that was lost may have left runs that no list has shown yet.
+    doubt_until: Time,
     /// Whether a competing dispatcher may use the same upstreams.
     has_competitors: bool,
     /// Sequence number of the last submitted job.
@@ -235,8 +242,18 @@
     pub fn load(&self, now: Time) -> Load {
         let mut load = Load::default();
         let mean_cpu = self.mean_cpu();
-        for upstream in self.upstreams.values().filter(|upstream| upstream.is_usable(now)) {
+        for upstream in self.upstreams.values() {
             let weighted_millicore = upstream.speed.factor() / 1_000.0;
+            // Nothing can be started on a contested upstream until it is free again, but then it is
+            // free as a whole.
+            if self.is_contested(upstream, now) {
+                let cores = f64::from(upstream.capacity.cpu) * weighted_millicore;
+                load.cores += cores;
+                load.busy_cores += cores;
+            }
+            if !upstream.is_usable(now) {
+                continue;
+            }
             load.cores += f64::from(upstream.capacity.cpu) * weighted_millicore;
             load.busy_cores += f64::from(upstream.used.cpu) * weighted_millicore;
             if upstream.accepts_starts(now) {
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -2,8 +2,10 @@
 use super::orders::MAX_UNANSWERED_STOPS;
 use crate::clock::Time;
 use crate::pool::run::RunState;
-use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR};
-use crate::pool::{Decision, Effect, EndedRun, Listing, PollFailure, RunEnd, RunKey, UpstreamKey};
+use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
+use crate::pool::{
+    Decision, Effect, EndedRun, Listing, PollFailure, RunEnd, RunKey, Task, UpstreamKey,
+};
 use std::time::Duration;
 
 /// Time for which the end of an unknown run, one that this dispatcher doesn't follow, is left
@@ -18,6 +20,12 @@
 /// Maximum multiple of [`crate::pool::Options::retry_backoff`] between polls.
 const MAX_BACKOFF_STEPS: u32 = 10;
 
+/// Maximum time from the receipt of a list to a renewal or a start that rests on it: polls of a busy
+/// upstream follow each other within 300 ms (`Options::poll_wait`). Where a lost host may have left
+/// runs that no list has shown, they then expire within 400 + 714 ms of its loss, before a caller
+/// sends its job again (1,300 ms).
+pub(super) const MAX_LIST_AGE: Duration = Duration::from_millis(400);
+
 /// Returns the time without renewals after which a run that is still listed is kept alive by another
 /// dispatcher.
 pub(super) fn max_acquisition_time(lease: Duration) -> Duration {
@@ -42,10 +50,11 @@
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
+        upstream.listed_at = Some(now);
         self.handle_ends(key, &listing.ended, now);
         let seen = self.handle_running(key, listing, now);
         self.end_absent_runs(key, &seen, sent, now);
-        self.complete_acquisition(key, now);
+        self.settle_ownership(key, now);
         self.schedule_poll(key, now);
         self.place(now);
     }
@@ -107,12 +116,33 @@
                 run.progressed_at = now;
             }
         }
-        if let Some(upstream) = self.upstreams.get_mut(key) {
+        // Lists on different connections may overtake each other. An older one shows runs that have
+        // ended since.
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && upstream.is_newest_list(listing)
+        {
+            self.rosters.retain_listed(&upstream.record.name, &foreign, now);
+            upstream.foreign.inherited.retain(|run| foreign.contains(run));
+            if now < upstream.foreign.inherits_until {
+                upstream.foreign.inherited.extend(foreign.iter().cloned());
+            }
             upstream.foreign.runs = foreign;
         }
+        self.find_strays(key);
         seen
     }
 
+    /// Notes whether an upstream lists strays.
+    pub(super) fn find_strays(&mut self, key: UpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let (name, foreign) = (&upstream.record.name, &upstream.foreign);
+        let is_stray = |run: &(Task, u32)| {
+            !foreign.inherited.contains(run) && !self.rosters.contains(name, run)
+        };
+        upstream.foreign.has_strays =
+            self.options.withhold_from_strays && foreign.runs.iter().any(is_stray);
+    }
+
     /// Ends runs that are absent from the list, if their absence from the answer to a poll sent at
     /// `sent` proves that they are over.
     fn end_absent_runs(&mut self, key: UpstreamKey, seen: &[RunKey], sent: Time, now: Time) {
@@ -137,23 +167,62 @@
         }
     }
 
-    /// Completes the acquisition of an upstream once it has no runs of other dispatchers, or once
-    /// these are known to belong to a live one: it has handed the upstream over, or they have
-    /// outlived a lease that this dispatcher did not renew.
-    fn complete_acquisition(&mut self, key: UpstreamKey, now: Time) {
-        let lease = self.options.lease;
+    /// Completes the acquisition of an upstream once a list has no strays, and begins it again when
+    /// one has some. Strays that outlive a lease which this dispatcher did not renew belong to a live
+    /// host without a link. They still bar the upstream: if that host dies, renewals would keep them
+    /// alive beyond the next submission of their job.
+    fn settle_ownership(&mut self, key: UpstreamKey, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        if upstream.ownership != Ownership::Acquiring {
-            return;
+        match (upstream.ownership, upstream.foreign.has_strays) {
+            (Ownership::Acquiring, false) => {
+                upstream.ownership = Ownership::Owned;
+                upstream.foreign.listed_since = None;
+            }
+            (Ownership::Acquiring, true) => {
+                upstream.foreign.listed_since.get_or_insert(now);
+            }
+            (Ownership::Owned, true) => {
+                self.withhold_renewals(key, now);
+            }
+            (Ownership::Owned, false) | (Ownership::Released, _) => {}
         }
-        let listed_since = *upstream.foreign.listed_since.get_or_insert(now);
-        if upstream.foreign.runs.is_empty()
-            || upstream.foreign.handed_over
-            || now.since(listed_since) > max_acquisition_time(lease)
-        {
-            upstream.ownership = Ownership::Owned;
-            upstream.foreign.listed_since = None;
+    }
+
+    /// Ends renewals and starts on an owned upstream if it has strays. Returns whether it has.
+    pub(super) fn withhold_renewals(&mut self, key: UpstreamKey, now: Time) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        let withholds = upstream.ownership == Ownership::Owned && upstream.foreign.has_strays;
+        if withholds {
+            upstream.ownership = Ownership::Acquiring;
+            upstream.foreign.listed_since = Some(now);
+            self.log_upstream_state(key, "lists runs that no live host follows", now);
+        }
+        withholds
+    }
+
+    /// Returns whether an upstream that is assigned to this dispatcher is in use by a live host
+    /// without a link.
+    pub(super) fn is_contested(&self, upstream: &Upstream, now: Time) -> bool {
+        let outlive_lease =
+            |since: Time| now.since(since) > max_acquisition_time(self.options.lease);
+        upstream.ownership == Ownership::Acquiring
+            && upstream.foreign.listed_since.is_some_and(outlive_lease)
+            && !upstream.record.draining
+            && upstream.unresponsive_since.is_none()
+            && upstream.missing_since.is_none()
+    }
+
+    /// Returns whether a start on an upstream has to wait for a newer list, as a host that was lost
+    /// or has no link may have runs there that the last one did not show. Requests that list.
+    pub(super) fn awaits_list(&mut self, key: UpstreamKey, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) <= MAX_LIST_AGE;
+        let listed_at = self.upstreams.get(key).and_then(|upstream| upstream.listed_at);
+        let is_in_doubt = self.has_competitors || now < self.doubt_until;
+        if !is_in_doubt || listed_at.is_some_and(is_recent) {
+            return false;
         }
+        self.poll_soon(key, now);
+        true
     }
 
     /// Handles a poll without an answer. A refused connection is treated like a timeout: a network
@@ -270,14 +339,18 @@
         // renewals resume, well before the lease expires.
         let renews_lease = busy
             && upstream.ownership != Ownership::Acquiring
-            && now >= upstream.foreign.expire_until
+            && !upstream.foreign.has_strays
             && upstream.failed_polls == 0
             && !upstream.runs.iter().any(has_max_unanswered_stops);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let lease_end_ms = if renews_lease { upstream.renew_lease(lease, now) } else { None };
         upstream.polls_in_flight += 1;
         let acknowledged = upstream.acknowledged;
-        let wait = if renews_lease { wait } else { Duration::ZERO };
+        // The owner renews a released upstream while it has runs there.
+        let is_renewed_by_owner = upstream.ownership == Ownership::Released
+            && upstream.foreign.has_strays
+            && upstream.failed_polls == 0;
+        let wait = if renews_lease || is_renewed_by_owner { wait } else { Duration::ZERO };
         self.effects.push(Effect::Poll { upstream: key, lease_end_ms, acknowledged, wait });
     }
 }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -117,6 +117,8 @@
             return;
         }
         run.unanswered_stops += 1;
+        // The owner of a released upstream has to end its renewals, as this dispatcher does.
+        self.has_stale_rosters |= run.unanswered_stops == MAX_UNANSWERED_STOPS;
         let (task, number) = (run.task.clone(), run.number);
         self.mark_unresponsive(upstream_key, now);
         self.effects.push(Effect::Stop { upstream: upstream_key, run: key, task, number });
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -138,7 +138,7 @@
     }
 
     /// Orders the start of a run. Returns false without a reading of the upstream's clock, as the
-    /// order has to contain the end of the lease.
+    /// order has to contain the end of the lease, and while a newer list is awaited.
     pub(super) fn start_run(
         &mut self,
         key: JobKey,
@@ -148,6 +148,9 @@
         expected: Duration,
         now: Time,
     ) -> bool {
+        if self.awaits_list(upstream_key, now) {
+            return false;
+        }
         let lease = self.options.lease;
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else { return false };
         let Some(lease_end_ms) = upstream.renew_lease(lease, now) else { return false };
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -160,6 +160,7 @@
         }
         self.give_up_all("this host was suspended", now);
         self.handovers.clear();
+        self.rosters.clear();
         for upstream in self.upstreams.values_mut() {
             upstream.clock = None;
             upstream.poll_due = now;
@@ -168,7 +169,12 @@
                 other => other,
             };
             upstream.foreign.listed_since = None;
-            upstream.foreign.handed_over = false;
+            upstream.foreign.inherited.clear();
+            upstream.foreign.inherits_until = Time::ZERO;
+        }
+        let upstreams: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        for upstream in upstreams {
+            self.find_strays(upstream);
         }
     }
 }
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -1,9 +1,9 @@
 use super::Pool;
-use super::listings::max_acquisition_time;
+use super::orders::MAX_UNANSWERED_STOPS;
 use crate::clock::Time;
 use crate::name;
-use crate::pool::UpstreamKey;
-use crate::pool::upstream::{Ownership, Record, Upstream};
+use crate::pool::upstream::{Ownership, Record, SLOW_CLOCK_FACTOR, Upstream};
+use crate::pool::{Roster, UpstreamKey};
 use std::time::Duration;
 
 /// Time for which a handover is remembered until the upstream is assigned to this dispatcher. Hosts
@@ -41,14 +41,16 @@
     }
 
     fn set_owned(&mut self, key: UpstreamKey, owned: bool, now: Time) {
+        let inheritance_time = self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         match (owned, upstream.ownership) {
             (true, Ownership::Released) => {
                 upstream.ownership = Ownership::Acquiring;
                 upstream.foreign.listed_since = None;
                 let handed_over_at = self.handovers.remove(&upstream.record.name);
-                upstream.foreign.handed_over =
-                    handed_over_at.is_some_and(|at| now.since(at) < HANDOVER_MEMORY);
+                if handed_over_at.is_some_and(|at| now.since(at) < HANDOVER_MEMORY) {
+                    upstream.foreign.inherits_until = now + inheritance_time;
+                }
                 upstream.poll_due = now;
                 self.poll(key, now);
             }
@@ -59,32 +61,89 @@
         }
     }
 
-    /// Returns whether this dispatcher owns an upstream, so that all runs there belong to live
-    /// dispatchers.
+    /// Returns whether this dispatcher owns an upstream and renews the leases there.
     pub fn owns(&self, name: &name::Upstream) -> bool {
         let key = self.upstreams_by_name.get(name);
         key.and_then(|key| self.upstreams.get(*key))
             .is_some_and(|upstream| upstream.ownership == Ownership::Owned)
     }
 
-    /// Returns whether this dispatcher owns an upstream of a data centre.
-    pub fn owns_any_of(&self, data_centre: &name::DataCentre) -> bool {
+    /// Returns whether this dispatcher owns an upstream of a data centre, also one that a host
+    /// without a link uses.
+    pub fn owns_any_of(&self, data_centre: &name::DataCentre, now: Time) -> bool {
         self.upstreams.values().any(|upstream| {
-            upstream.ownership == Ownership::Owned && upstream.record.data_centre == *data_centre
+            upstream.record.data_centre == *data_centre
+                && (upstream.ownership == Ownership::Owned || self.is_contested(upstream, now))
         })
     }
 
-    /// Handles the message of a live dispatcher that it owned an upstream, starts nothing there any
-    /// more and follows its runs to their end. They then don't delay the acquisition.
+    /// Returns the roster of this dispatcher's runs on an upstream that it doesn't own, for the owner;
+    /// `None` if there are no runs. Runs that have to end by the expiry of their lease are left out.
+    pub fn roster(&self, name: &name::Upstream) -> Option<Roster> {
+        let upstream = self.upstreams.get(*self.upstreams_by_name.get(name)?)?;
+        if upstream.ownership != Ownership::Released || upstream.runs.is_empty() {
+            return None;
+        }
+        let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
+        let followed = runs.filter(|run| run.unanswered_stops < MAX_UNANSWERED_STOPS);
+        let runs = followed.map(|run| (run.task.clone(), run.number)).collect();
+        Some(Roster { upstream: name.clone(), runs })
+    }
+
+    /// Returns whether rosters were given away with runs that have to expire by now, so that the
+    /// owners need new ones. Returns it once.
+    pub fn take_has_stale_rosters(&mut self) -> bool {
+        std::mem::take(&mut self.has_stale_rosters)
+    }
+
+    /// Handles the roster of a live host, which replaces its former one for the same upstream.
+    pub fn on_roster(&mut self, host: &name::Host, roster: Roster, now: Time) {
+        let key = self.upstreams_by_name.get(&roster.upstream).copied();
+        self.rosters.replace(host, roster, now);
+        let Some(key) = key else { return };
+        self.find_strays(key);
+        self.withhold_renewals(key, now);
+        let is_acquiring = |upstream: &Upstream| upstream.ownership == Ownership::Acquiring;
+        if self.upstreams.get(key).is_some_and(is_acquiring) {
+            self.poll_soon(key, now);
+        }
+    }
+
+    /// Handles the loss of the link to a host that has rosters here, or owned upstreams: it may have
+    /// failed. No renewal covers its runs any more, and nothing is started beside them until their
+    /// absence from a list proves that they have ended.
+    pub fn on_host_lost(&mut self, host: &name::Host, has_dispatched: bool, now: Time) {
+        let had_rosters = self.rosters.remove(host);
+        if !had_rosters && !has_dispatched {
+            return;
+        }
+        self.doubt_until = now + self.options.lease.mul_f64(SLOW_CLOCK_FACTOR) * 2;
+        self.find_all_strays(now);
+    }
+
+    fn find_all_strays(&mut self, now: Time) {
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        for key in keys {
+            self.find_strays(key);
+            if self.withhold_renewals(key, now) {
+                self.poll_soon(key, now);
+            }
+        }
+    }
+
+    /// Handles the message of a live dispatcher of an earlier release that it owned an upstream,
+    /// starts nothing there any more and follows its runs to their end. They then don't delay the
+    /// acquisition.
     ///
     /// Addresses the load pattern "all hosts start within a second": upstreams pass from the first
     /// hosts to larger ones while jobs wait.
     pub fn on_handover(&mut self, name: &name::Upstream, now: Time) {
+        let inheritance_time = self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
         let key = self.upstreams_by_name.get(name).copied();
         let upstream = key.and_then(|key| Some((key, self.upstreams.get_mut(key)?)));
         match upstream.map(|(key, upstream)| (key, upstream.ownership, upstream)) {
             Some((key, Ownership::Acquiring, upstream)) => {
-                upstream.foreign.handed_over = true;
+                upstream.foreign.inherits_until = now + inheritance_time;
                 self.poll_soon(key, now);
             }
             Some((_, Ownership::Owned, _)) => {}
@@ -118,29 +177,14 @@
         self.upstreams_by_name.keys()
     }
 
-    /// Lets runs of other dispatchers expire, as one of these dispatchers may have failed. A renewal
-    /// covers all runs of an upstream, so those of this dispatcher would keep the runs of the failed
-    /// one alive.
+    /// Lets runs of dispatchers of earlier releases expire, as one of these may have failed.
     pub fn expire_foreign_runs(&mut self, now: Time) {
         self.handovers.clear();
-        let lease = self.options.lease;
         for upstream in self.upstreams.values_mut() {
-            upstream.foreign.handed_over = false;
-            if upstream.foreign.runs.is_empty() {
-                continue;
-            }
-            match upstream.ownership {
-                Ownership::Owned => {
-                    upstream.ownership = Ownership::Acquiring;
-                    upstream.foreign.listed_since = None;
-                    upstream.poll_due = now;
-                }
-                Ownership::Released => {
-                    upstream.foreign.expire_until = now + max_acquisition_time(lease);
-                }
-                Ownership::Acquiring => {}
-            }
+            upstream.foreign.inherited.clear();
+            upstream.foreign.inherits_until = Time::ZERO;
         }
+        self.find_all_strays(now);
     }
 
     /// Removes upstreams that are no longer owned or have lost their record, once they have no runs
--- a/crates/heathertrack/src/pool/options.rs
+++ b/crates/heathertrack/src/pool/options.rs
@@ -23,6 +23,9 @@
     /// Whether runs of jobs whose entry host is gone are stopped. Off only in tests, to show that
     /// they detect the resulting fault.
     pub end_orphaned_jobs: bool,
+    /// Whether no lease is renewed on an upstream that lists runs which no live host is known to
+    /// follow. Off only in tests, to show that they detect the resulting fault.
+    pub withhold_from_strays: bool,
     /// Step of the backoff between polls of an unresponsive upstream: the pause is this times the
     /// number of failed polls in a row, at most ten times; the first retry is immediate. Also the
     /// pause of starts on an upstream that answered one with [`super::StartAnswer::Unwell`].
@@ -54,6 +57,7 @@
             short_poll_span: Duration::from_secs(3),
             stop_unanswered_starts: true,
             end_orphaned_jobs: true,
+            withhold_from_strays: true,
             retry_backoff: Duration::from_millis(100),
             idle_poll_interval: Duration::from_secs(5),
             max_wait_share: 1.0,
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -3,10 +3,10 @@
 use super::health::Health;
 use super::job::{Needs, Step};
 use super::speed::Speed;
-use super::{LossCause, RunKey, Task};
+use super::{Listing, LossCause, RunKey, Task};
 use crate::clock::Time;
 use crate::name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,15 +57,16 @@
 pub(super) struct ForeignRuns {
     /// Tasks and run numbers.
     pub runs: Vec<(Task, u32)>,
+    /// Whether some of them are strays: no live host is known to follow them. A renewal covers all
+    /// runs of an upstream, so with strays there is none, and they expire unless their host lives.
+    pub has_strays: bool,
     /// When the upstream first listed its runs after this dispatcher began to acquire it. From then
     /// on, this dispatcher renews no lease there until it owns the upstream.
     pub listed_since: Option<Time>,
-    /// Whether all these runs belong to a live dispatcher, which has handed the upstream over and
-    /// follows them to their end.
-    pub handed_over: bool,
-    /// Until when no lease is renewed on a released upstream, so that runs of a lost dispatcher
-    /// expire.
-    pub expire_until: Time,
+    /// Runs of live dispatchers of an earlier release, which hand an upstream over without a roster.
+    pub inherited: BTreeSet<(Task, u32)>,
+    /// Until when listed runs are taken for those of the dispatcher that handed the upstream over.
+    pub inherits_until: Time,
 }
 
 /// Ownership of an upstream by this dispatcher.
@@ -73,8 +74,7 @@
 pub(super) enum Ownership {
     /// Not owned; runs that are left are followed to their end.
     Released,
-    /// Not polled yet, or with runs of other dispatchers that may still expire: nothing is started
-    /// and no lease is renewed.
+    /// Not polled yet, or with strays: nothing is started and no lease is renewed.
     Acquiring,
     /// Owned: runs are started and their lease is renewed.
     Owned,
@@ -125,6 +125,10 @@
     pub has_ends_to_acknowledge: bool,
     /// When it last answered.
     pub last_answer: Time,
+    /// When its last list was received.
+    pub listed_at: Option<Time>,
+    /// Process and clock, in milliseconds, of the newest list.
+    pub newest_list: (u64, u64),
     pub health: Health,
     pub speed: Speed,
     /// When its record was found missing from the store, if it is.
@@ -156,6 +160,8 @@
             no_starts_until: now,
             has_ends_to_acknowledge: false,
             last_answer: now,
+            listed_at: None,
+            newest_list: (0, 0),
             health: Health::default(),
             speed: Speed::default(),
             missing_since: None,
@@ -178,6 +184,16 @@
         self.failed_polls = 0;
     }
 
+    /// Returns whether no list of the same process has shown a later time, and records this one.
+    pub fn is_newest_list(&mut self, listing: &Listing) -> bool {
+        let is_newest =
+            listing.started_ms != self.newest_list.0 || listing.clock_ms >= self.newest_list.1;
+        if is_newest {
+            self.newest_list = (listing.started_ms, listing.clock_ms);
+        }
+        is_newest
+    }
+
     /// Returns what is known of the process with which the runs here were lost, as another one has
     /// answered.
     pub fn replacement_cause(&self) -> LossCause {
--- /dev/null
+++ b/crates/heathertrack/tests/lease.rs
@@ -0,0 +1,287 @@
+//! Who renews the lease of an upstream on which runs of several hosts are.
+
+use heathertrack::clock::Time;
+use heathertrack::name::{DataCentre, Host, Upstream};
+use heathertrack::pool::job::{Id, Needs, Request, Step};
+use heathertrack::pool::upstream::Record;
+use heathertrack::pool::{
+    Effect, Listing, Options, Pool, Roster, RunKey, RunningRun, StartAnswer, Task, UpstreamKey,
+};
+use std::time::Duration;
+
+/// CPU of a task, in thousandths of a core. Two such tasks fit on an upstream.
+const TASK_CPU: u32 = 6_800;
+/// Unix time at which the process of the upstream started, in milliseconds.
+const UPSTREAM_STARTED_MS: u64 = 1;
+/// The dispatcher under test owns the upstream.
+const OWNED: bool = true;
+/// The lost host owned upstreams.
+const DISPATCHED: bool = true;
+/// The upstream has confirmed a stop.
+const CONFIRMED: bool = true;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn record(name: &str) -> Record {
+    Record {
+        name: Upstream::new(name),
+        address: "10.0.0.1:80".into(),
+        service: "service".into(),
+        data_centre: DataCentre::new("a"),
+        capacity: Needs { cpu: 16_000, memory: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+        started_ms: Some(UPSTREAM_STARTED_MS),
+    }
+}
+
+/// Returns a job of one task that lasts seconds, received at 100 ms.
+fn job(id: &str) -> Request {
+    let needs = Needs { cpu: TASK_CPU, memory: 1, accelerators: 0 };
+    let estimate = Duration::from_secs(4);
+    Request {
+        id: Id::new(id),
+        spec: "".into(),
+        class: "class".into(),
+        service: "service".into(),
+        priority: 0,
+        max_attempts: 2,
+        steps: vec![Step { count: 1, needs, estimate, ..Step::default() }],
+        received: at(100),
+        objective: Duration::from_secs(10),
+        deadline: at(15_000),
+    }
+}
+
+/// Returns the list of an upstream whose clock shows the dispatcher's time.
+fn list(running: &[RunningRun], ms: u64) -> Listing {
+    Listing {
+        clock_ms: ms,
+        started_ms: UPSTREAM_STARTED_MS,
+        running: running.to_vec(),
+        ended: Vec::new(),
+    }
+}
+
+/// Returns a run that another host has started.
+fn foreign_run(job: &str) -> RunningRun {
+    let task = Task { job: Id::new(job), occurrence: 0, step: 0, index: 0 };
+    RunningRun { task, number: 1, percent: 1 }
+}
+
+fn roster(upstream: &str, runs: &[RunningRun]) -> Roster {
+    let runs = runs.iter().map(|run| (run.task.clone(), run.number)).collect();
+    Roster { upstream: Upstream::new(upstream), runs }
+}
+
+fn polls(effects: &[Effect]) -> Vec<UpstreamKey> {
+    let poll = |effect: &Effect| match effect {
+        Effect::Poll { upstream, .. } => Some(*upstream),
+        _ => None,
+    };
+    effects.iter().filter_map(poll).collect()
+}
+
+fn starts(effects: &[Effect]) -> Vec<(UpstreamKey, RunKey, RunningRun)> {
+    let start = |effect: &Effect| match effect {
+        Effect::Start { upstream, run, task, number, .. } => {
+            let row = RunningRun { task: task.clone(), number: *number, percent: 1 };
+            Some((*upstream, *run, row))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+/// Returns whether any poll or start moves the end of a lease.
+fn renews(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| {
+        matches!(effect, Effect::Poll { lease_end_ms: Some(_), .. } | Effect::Start { .. })
+    })
+}
+
+/// Returns a dispatcher that owns idle upstreams of these names.
+fn pool(names: &[&str]) -> Pool {
+    let mut pool = Pool::new(Options::default());
+    for name in names {
+        pool.update_upstream(record(name), OWNED, at(90));
+    }
+    for key in polls(&pool.take_effects()) {
+        pool.on_poll_answer(key, &list(&[], 90), at(90), at(91));
+    }
+    pool.take_effects();
+    pool
+}
+
+/// A dispatcher with one run.
+struct Fixture {
+    pool: Pool,
+    upstream: UpstreamKey,
+    run: RunKey,
+    /// The run as its upstream lists it.
+    row: RunningRun,
+}
+
+/// Returns a dispatcher of upstreams of these names with a job of one task, which runs on one of
+/// them.
+fn running(names: &[&str]) -> Fixture {
+    let mut pool = pool(names);
+    pool.submit(job("own"), at(100));
+    let (upstream, run, row) = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(run, StartAnswer::Running, Some(101), at(101));
+    pool.on_poll_answer(upstream, &list(std::slice::from_ref(&row), 102), at(101), at(102));
+    pool.take_effects();
+    Fixture { pool, upstream, run, row }
+}
+
+/// Passes the answer to a poll of the upstream, and returns the effects.
+fn answer(fixture: &mut Fixture, running: &[RunningRun], ms: u64) -> Vec<Effect> {
+    fixture.pool.on_poll_answer(fixture.upstream, &list(running, ms), at(ms - 1), at(ms));
+    fixture.pool.take_effects()
+}
+
+#[test]
+fn the_owner_renews_runs_of_a_leaving_host_only_while_it_has_a_link() {
+    let mut fixture = running(&["u1"]);
+    let leaving = Host::new("leaving");
+    let foreign = foreign_run("foreign");
+    let both = [fixture.row.clone(), foreign.clone()];
+    fixture.pool.on_roster(&leaving, roster("u1", &[foreign]), at(110));
+    let linked = answer(&mut fixture, &both, 120);
+
+    fixture.pool.on_host_lost(&leaving, !DISPATCHED, at(130));
+    fixture.pool.submit(job("next"), at(131));
+    let lost = fixture.pool.take_effects();
+    let listed = answer(&mut fixture, &both, 260);
+    let ended = answer(&mut fixture, &both[..1], 900);
+
+    assert!(renews(&linked));
+    assert!(!renews(&lost));
+    assert!(!renews(&listed));
+    assert!(renews(&ended));
+}
+
+#[test]
+fn a_leaving_host_keeps_no_runs_of_the_next_owner_alive() {
+    let mut fixture = running(&["u1"]);
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let alone = [fixture.row.clone()];
+    let both = [fixture.row.clone(), foreign_run("next")];
+
+    let before = answer(&mut fixture, &alone, 120);
+    let beside = answer(&mut fixture, &both, 420);
+    let after = answer(&mut fixture, &alone, 720);
+
+    assert!(renews(&before));
+    assert!(!renews(&beside));
+    let waits = |effect: &Effect| matches!(effect, Effect::Poll { wait, .. } if !wait.is_zero());
+    assert!(beside.iter().any(waits), "the next poll waits for an end, as with a renewal");
+    assert!(renews(&after));
+}
+
+#[test]
+fn runs_of_a_host_without_a_link_are_not_renewed_however_long_they_last() {
+    let mut pool = pool(&["u1"]);
+    let upstream = {
+        pool.submit(job("first"), at(100));
+        let (upstream, run, _) = starts(&pool.take_effects()).remove(0);
+        pool.on_start_answer(run, StartAnswer::Running, Some(101), at(101));
+        upstream
+    };
+    pool.take_effects();
+    let isolated = foreign_run("isolated");
+
+    for ms in (200..3_000).step_by(120) {
+        pool.on_poll_answer(
+            upstream,
+            &list(std::slice::from_ref(&isolated), ms),
+            at(ms - 1),
+            at(ms),
+        );
+        pool.tick(at(ms + 1));
+    }
+    let contested = pool.take_effects();
+    let load = pool.load(at(3_000));
+    pool.on_poll_answer(upstream, &list(&[], 3_100), at(3_099), at(3_100));
+    let free = pool.take_effects();
+
+    assert!(!renews(&contested));
+    assert!(load.cores > 0.0, "its jobs wait for the upstream instead of being refused");
+    assert_eq!(load.free_slots, 0);
+    assert_eq!(starts(&free).len(), 1);
+}
+
+/// The last list of an idle upstream may be seconds old, and a start renews the leases of all runs.
+#[test]
+fn after_the_loss_of_a_dispatcher_an_idle_upstream_is_listed_before_a_start() {
+    let mut pool = pool(&["u1"]);
+    pool.on_host_lost(&Host::new("lost"), DISPATCHED, at(1_000));
+
+    pool.submit(job("own"), at(1_001));
+    let submitted = pool.take_effects();
+    let upstream = polls(&submitted)[0];
+    pool.on_poll_answer(upstream, &list(&[foreign_run("lost")], 1_002), at(1_001), at(1_002));
+    let beside = pool.take_effects();
+    pool.on_poll_answer(upstream, &list(&[], 1_600), at(1_599), at(1_600));
+    let alone = pool.take_effects();
+
+    assert!(!renews(&submitted));
+    assert!(!renews(&beside));
+    assert_eq!(starts(&alone).len(), 1);
+}
+
+/// A run that can't be stopped ends when its lease expires, also if another host renews it.
+#[test]
+fn a_run_that_does_not_answer_to_stops_leaves_the_roster() {
+    let mut fixture = running(&["u1"]);
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let before = fixture.pool.roster(&Upstream::new("u1"));
+    fixture.pool.cancel_by_id(&Id::new("own"), at(120));
+
+    fixture.pool.on_stop_answer(fixture.run, !CONFIRMED, None, at(180));
+    let once = fixture.pool.take_has_stale_rosters();
+    fixture.pool.on_stop_answer(fixture.run, !CONFIRMED, None, at(240));
+    let twice = fixture.pool.take_has_stale_rosters();
+
+    assert_eq!(before, Some(roster("u1", std::slice::from_ref(&fixture.row))));
+    assert_eq!((once, twice), (false, true));
+    assert_eq!(fixture.pool.roster(&Upstream::new("u1")), Some(roster("u1", &[])));
+}
+
+#[test]
+fn an_older_list_that_arrives_late_bars_no_upstream() {
+    let mut fixture = running(&["u1"]);
+    let row = fixture.row.clone();
+    let end = heathertrack::pool::EndedRun {
+        sequence: 1,
+        task: Some(row.task.clone()),
+        number: row.number,
+        how: heathertrack::pool::RunEnd::Done,
+    };
+    let newer = Listing { ended: vec![end], ..list(&[], 200) };
+    fixture.pool.on_poll_answer(fixture.upstream, &newer, at(150), at(201));
+
+    fixture.pool.on_poll_answer(fixture.upstream, &list(&[row], 199), at(198), at(202));
+
+    assert!(fixture.pool.owns(&Upstream::new("u1")));
+}
+
+/// A peer may send anything.
+#[test]
+fn rosters_are_bounded() {
+    let mut fixture = running(&["u1"]);
+    let host = Host::new("hostile");
+    let foreign = foreign_run("zzz");
+    for number in 0..40_000 {
+        let runs = [foreign_run(&format!("{number}"))];
+        fixture.pool.on_roster(&host, roster(&format!("unknown {number}"), &runs), at(110));
+    }
+    fixture.pool.on_roster(&host, roster("u1", std::slice::from_ref(&foreign)), at(111));
+    let both = [fixture.row.clone(), foreign];
+
+    let beyond = answer(&mut fixture, &both, 120);
+
+    assert!(!renews(&beyond), "what is beyond the bound is not known");
+}
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -367,15 +367,18 @@
     let (mut pool, (upstream, _, task, number)) = running(&["u1"]);
     pool.update_upstream(record("u1"), false, at(110));
     let own_run = RunningRun { task, number, percent: 1 };
+    let alone = || listing(vec![own_run.clone()], Vec::new());
     let both = || listing(vec![own_run.clone(), foreign_run()], Vec::new());
-    pool.on_poll_answer(upstream, &both(), at(110), at(120));
+    pool.on_poll_answer(upstream, &alone(), at(110), at(115));
+    let renewed_alone = renewals(&pool.take_effects());
+    pool.on_poll_answer(upstream, &both(), at(115), at(120));
     let renewed_before = renewals(&pool.take_effects());
 
     pool.expire_foreign_runs(at(121));
     pool.on_poll_answer(upstream, &both(), at(121), at(130));
     let renewed_after = renewals(&pool.take_effects());
 
-    assert_eq!((renewed_before, renewed_after), (1, 0));
+    assert_eq!((renewed_alone, renewed_before, renewed_after), (1, 0, 0));
 }
 
 /// Returns the number of polls that renew the lease of their upstream.
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -4,7 +4,7 @@
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
-use heathertrack::pool::{Load, Loss, LossCause, Task};
+use heathertrack::pool::{Load, Loss, LossCause, Roster, Task};
 use heathertrack_platform::{HostRecord, Item};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
@@ -61,6 +61,10 @@
     /// Reports runs that were lost with their upstreams. Sent only to hosts with
     /// [`Hello::takes_losses`].
     Losses { losses: Vec<LossWire> },
+    /// Names the sender's runs on upstreams that it no longer owns, to their owner. Each entry
+    /// replaces the former one for the same upstream. Sent only to hosts with
+    /// [`Hello::takes_rosters`], in place of [`Frame::Handover`].
+    Rosters { rosters: Vec<RosterWire> },
 }
 
 /// Identity of the sender.
@@ -80,6 +84,9 @@
     /// Whether the sender understands [`Frame::Losses`]. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
     pub takes_losses: bool,
+    /// Whether the sender understands [`Frame::Rosters`]. Earlier releases don't send this field.
+    #[serde(deserialize_with = "or_default")]
+    pub takes_rosters: bool,
 }
 
 /// Reads a field that earlier releases don't send. Only such fields may follow it in its message, as
@@ -194,6 +201,14 @@
     pub index: u32,
 }
 
+/// [`Roster`].
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct RosterWire {
+    pub upstream: String,
+    /// Tasks and the numbers of their runs.
+    pub runs: Vec<(TaskWire, u32)>,
+}
+
 /// Item of the store; it has no value if it was removed.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ItemWire {
@@ -218,6 +233,7 @@
             cpu_share: record.cpu_share,
             takes_handovers: true,
             takes_losses: true,
+            takes_rosters: true,
         }
     }
 }
@@ -390,6 +406,22 @@
     }
 }
 
+impl From<&Roster> for RosterWire {
+    fn from(roster: &Roster) -> Self {
+        let run = |(task, number): &(Task, u32)| (TaskWire::from(task), *number);
+        let runs = roster.runs.iter().map(run).collect();
+        RosterWire { upstream: roster.upstream.to_string(), runs }
+    }
+}
+
+impl From<RosterWire> for Roster {
+    fn from(wire: RosterWire) -> Self {
+        let run = |(task, number): (TaskWire, u32)| (task.into(), number);
+        let runs = wire.runs.into_iter().map(run).collect();
+        Roster { upstream: Upstream::new(wire.upstream), runs }
+    }
+}
+
 impl From<LossCause> for CauseWire {
     fn from(cause: LossCause) -> Self {
         match cause {
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -64,7 +64,7 @@
     }
     let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
     let Some(link_number) = entry.add_peer(hello, dialled, frames) else { return };
-    let why = link.serve(&host, queue).await;
+    let why = link.serve(&host, link_number, queue).await;
     entry.remove_peer(&host, link_number, why);
 }
 
@@ -106,7 +106,12 @@
     }
 
     /// Sends and receives messages until the link ends. Returns the reason for its end.
-    async fn serve(&mut self, host: &Host, mut queue: mpsc::Receiver<Frame>) -> &'static str {
+    async fn serve(
+        &mut self,
+        host: &Host,
+        link_number: u64,
+        mut queue: mpsc::Receiver<Frame>,
+    ) -> &'static str {
         let mut last_received = Instant::now();
         let mut silence_timeout = links::heartbeat_timeout(FAST_HEARTBEAT_PERIOD);
         let first = Frame::Heartbeat(self.entry.heartbeat().with_period(FAST_HEARTBEAT_PERIOD));
@@ -125,7 +130,7 @@
                     if let Frame::Heartbeat(heartbeat) = &frame {
                         silence_timeout = links::heartbeat_timeout(heartbeat.period());
                     }
-                    self.handle(host, frame, transit_time);
+                    self.handle(host, link_number, frame, transit_time);
                 }
                 frame = queue.recv() => {
                     // The queue is closed when the peer is removed from the state.
@@ -158,7 +163,7 @@
         self.send(frame).await
     }
 
-    fn handle(&self, host: &Host, frame: Frame, transit_time: Duration) {
+    fn handle(&self, host: &Host, link_number: u64, frame: Frame, transit_time: Duration) {
         let entry = &self.entry;
         match frame {
             // Only the first message of a link identifies the peer.
@@ -180,6 +185,7 @@
             }
             Frame::Handover { upstreams } => entry.handle_handover(upstreams),
             Frame::Losses { losses } => entry.handle_losses(losses),
+            Frame::Rosters { rosters } => entry.handle_rosters(host, link_number, rosters),
         }
     }
 }
--- a/crates/heathertrackd/src/entry/link/heartbeat.rs
+++ b/crates/heathertrackd/src/entry/link/heartbeat.rs
@@ -27,10 +27,11 @@
     /// Returns the heartbeat of this host.
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let state = self.state.borrow();
-        let load = state.pool.load(self.environment.clock().now());
+        let now = self.environment.clock().now();
+        let load = state.pool.load(now);
         Heartbeat {
             leaving: state.leaving,
-            dispatches: state.pool.owns_any_of(&self.record.data_centre),
+            dispatches: state.pool.owns_any_of(&self.record.data_centre, now),
             revision: state.mirror.revision(),
             version: state.version(),
             cores: load.cores as f32,
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -2,7 +2,7 @@
 //! tarpc interface between hosts is separate: `crate::peers`, `crate::server`, `crate::heartbeats`.
 
 use crate::entry::boot_clock::Clock;
-use crate::entry::frame::{Frame, Heartbeat, Hello, ItemWire, LossWire, Submit};
+use crate::entry::frame::{Frame, Heartbeat, Hello, ItemWire, LossWire, RosterWire, Submit};
 use crate::entry::node::{EntryHost, Environment};
 use crate::entry::state::{Peer, Reply};
 use heathertrack::membership::depth::MirrorScope;
@@ -33,7 +33,7 @@
         dialled: bool,
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
-        let Hello { incarnation, takes_handovers, takes_losses, .. } = hello;
+        let Hello { incarnation, takes_handovers, takes_losses, takes_rosters, .. } = hello;
         let record = HostRecord::from(hello);
         let host = record.name.clone();
         // If two hosts dialled each other, both keep the link that the host with the smaller name
@@ -61,6 +61,7 @@
             incarnation,
             takes_handovers,
             takes_losses,
+            takes_rosters,
             dialled,
             // The state and load are unknown until the first heartbeat of the peer.
             has_reported: false,
@@ -93,7 +94,7 @@
     /// that were handed over on it, in either direction, end.
     pub(super) fn remove_peer(self: &Rc<Self>, host: &Host, link: u64, why: &str) {
         let now = self.now();
-        let (peer_jobs, remote_jobs, was_planned) = {
+        let (peer_jobs, remote_jobs, has_dispatched, takes_rosters) = {
             let mut state = self.state.borrow_mut();
             if state.peers.get(host).map(|peer| peer.link_number) != Some(link) {
                 return;
@@ -110,7 +111,8 @@
                 .into_iter()
                 .filter_map(|number| state.remote_jobs.remove(&number))
                 .collect();
-            (peer.jobs, remote_jobs, peer.leaving)
+            let has_dispatched = peer.is_dispatcher() && !peer.leaving;
+            (peer.jobs, remote_jobs, has_dispatched, peer.takes_rosters)
         };
         self.event_log.peer_lost(host, why, peer_jobs.len(), remote_jobs.len());
         self.update_competitors();
@@ -122,9 +124,9 @@
         {
             let mut state = self.state.borrow_mut();
             state.pool.end_orphaned_jobs(peer_jobs.into_values(), now);
-            // A peer that did not announce its stop may have failed and left runs on upstreams of
-            // this host.
-            if !was_planned {
+            // Whether it has failed or not, nobody follows its runs on upstreams of this host.
+            state.pool.on_host_lost(host, has_dispatched, now);
+            if !takes_rosters {
                 state.pool.expire_foreign_runs(now);
             }
         }
@@ -238,6 +240,25 @@
         });
     }
 
+    /// Records which runs a peer follows on upstreams of this host. Rosters that are read from a link
+    /// after its end don't count: the peer's process may be gone.
+    pub(super) fn handle_rosters(
+        self: &Rc<Self>,
+        host: &Host,
+        link_number: u64,
+        rosters: Vec<RosterWire>,
+    ) {
+        let current = self.state.borrow().peers.get(host).map(|peer| peer.link_number);
+        if current != Some(link_number) {
+            return;
+        }
+        self.with_pool(|pool, now| {
+            for roster in rosters {
+                pool.on_roster(host, roster.into(), now);
+            }
+        });
+    }
+
     /// Records runs that were lost at another dispatcher.
     pub(super) fn handle_losses(self: &Rc<Self>, losses: Vec<LossWire>) {
         self.with_pool(|pool, now| {
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -1,11 +1,11 @@
 //! Assignment of upstreams to dispatchers.
 
-use super::frame::Frame;
+use super::frame::{Frame, RosterWire};
 use super::node::{EntryHost, Environment};
 use super::state::{Peer, State};
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
-use heathertrack::pool::{Candidate, choose_dispatchers, owner, startup_grace};
+use heathertrack::pool::{Candidate, Roster, choose_dispatchers, owner, startup_grace};
 use heathertrack_platform::HostRecord;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,14 +29,20 @@
     dispatchers: Vec<Host>,
     /// Names of the upstreams that this host owned until now, by their next owner.
     handovers: BTreeMap<Host, Vec<String>>,
+    /// This host's runs on upstreams of others, by owner.
+    rosters: BTreeMap<Host, Vec<Roster>>,
 }
 
 impl<E: Environment> EntryHost<E> {
     /// Reassigns all upstreams to dispatchers if the assignment may have changed.
     pub(super) fn update_owners(self: &Rc<Self>) {
         let now = self.now();
-        let handovers = {
+        let (handovers, rosters) = {
             let mut state = self.state.borrow_mut();
+            if state.pool.take_has_stale_rosters() {
+                state.sent_rosters.clear();
+                state.owners_stale = true;
+            }
             state.remove_missing_upstreams(now);
             state.update_has_started(now);
             if !state.owners_stale || state.waits_for_links(&self.record, &self.seeds.borrow(), now)
@@ -44,10 +50,10 @@
                 return;
             }
             state.owners_stale = false;
-            let candidates = self.candidates(&state);
+            let candidates = self.candidates(&state, now);
             let assignment = state.assign_upstreams(&self.record, &candidates, now);
             state.report_missing_to_pool(now);
-            let Assignment { assigned, owned, dispatchers, handovers } = assignment;
+            let Assignment { assigned, owned, dispatchers, handovers, rosters } = assignment;
             if state.dispatchers != dispatchers {
                 self.event_log.owners_changed(owned, state.upstreams.len(), candidates.len());
             }
@@ -60,19 +66,46 @@
             state.owners_stale |= assigned > owned;
             state.dispatchers = dispatchers;
             state.owned_upstreams = owned;
-            handovers
+            (handovers, rosters)
         };
         self.send_handovers(handovers);
+        self.send_rosters(rosters);
         self.update_competitors();
         self.run_effects();
     }
 
-    /// Tells the next owners of released upstreams that they need not wait for the runs there. An
-    /// owner without a link, or of an earlier release, waits until the runs have ended.
+    /// Tells the next owners of released upstreams which runs this host follows there, so that they
+    /// need not wait for these. An owner without a link waits until the runs have ended.
+    fn send_rosters(&self, rosters: BTreeMap<Host, Vec<Roster>>) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        for (host, mut rosters) in rosters {
+            let Some(peer) = state.peers.get(&host).filter(|peer| peer.takes_rosters) else {
+                continue;
+            };
+            let link = peer.link_number;
+            rosters.retain(|roster| state.sent_rosters.get(&roster.upstream) != Some(&link));
+            if rosters.is_empty() {
+                continue;
+            }
+            let wire = rosters.iter().map(RosterWire::from).collect();
+            if peer.frames.try_send(Frame::Rosters { rosters: wire }).is_err() {
+                self.event_log.link_full(&host);
+                continue;
+            }
+            state.sent_rosters.extend(rosters.into_iter().map(|roster| (roster.upstream, link)));
+        }
+    }
+
+    /// Does the same for next owners of an earlier release.
     fn send_handovers(&self, handovers: BTreeMap<Host, Vec<String>>) {
         for (host, upstreams) in handovers {
-            let takes_handovers =
-                self.state.borrow().peers.get(&host).is_some_and(|peer| peer.takes_handovers);
+            let takes_handovers = self
+                .state
+                .borrow()
+                .peers
+                .get(&host)
+                .is_some_and(|peer| peer.takes_handovers && !peer.takes_rosters);
             if takes_handovers {
                 self.send_to(&host, Frame::Handover { upstreams });
             }
@@ -95,12 +128,12 @@
     }
 
     /// Returns the live hosts that are not leaving, sorted by name.
-    fn candidates(&self, state: &State) -> Vec<Candidate> {
+    fn candidates(&self, state: &State, now: Time) -> Vec<Candidate> {
         let own = (!state.leaving).then(|| Candidate {
             host: self.record.name.clone(),
             data_centre: self.record.data_centre.clone(),
             cpu_share: self.record.cpu_share,
-            incumbent: state.pool.owns_any_of(&self.record.data_centre),
+            incumbent: state.pool.owns_any_of(&self.record.data_centre, now),
         });
         let peers = state.peers.values().filter(|peer| peer.has_reported && !peer.leaving);
         let peers = peers.map(|peer| Candidate {
@@ -167,7 +200,7 @@
         let is_starting = |candidate: &Candidate| {
             self.peers.get(&candidate.host).is_some_and(|peer| peer.is_starting)
         };
-        let owns_some = self.pool.owns_any_of(centre);
+        let owns_some = self.pool.owns_any_of(centre, now);
         if owns_some || hosts.iter().any(|host| host.incumbent && !is_starting(host)) {
             hosts.retain(|host| !is_starting(host));
         }
@@ -203,6 +236,7 @@
         let (mut assigned, mut owned) = (0, 0);
         let mut dispatchers: Vec<Host> = Vec::new();
         let mut handovers: BTreeMap<Host, Vec<String>> = BTreeMap::new();
+        let mut rosters: BTreeMap<Host, Vec<Roster>> = BTreeMap::new();
         for (centre, upstreams) in self.upstreams_by_centre() {
             let hosts = self.dispatcher_candidates(&centre, own, candidates, now);
             let centre_dispatchers = choose_dispatchers(&centre, upstreams.len(), &hosts);
@@ -220,6 +254,13 @@
                 if let Some(record) = self.upstreams.get(&name).cloned() {
                     self.pool.update_upstream(record, is_owned, now);
                 }
+                if let Some(new_owner) = new_owner.filter(|_| !is_assigned)
+                    && let Some(roster) = self.pool.roster(&name)
+                {
+                    rosters.entry(new_owner.clone()).or_default().push(roster);
+                } else {
+                    self.sent_rosters.remove(&name);
+                }
             }
             for host in centre_dispatchers {
                 if !dispatchers.contains(&host) {
@@ -227,7 +268,7 @@
                 }
             }
         }
-        Assignment { assigned, owned, dispatchers, handovers }
+        Assignment { assigned, owned, dispatchers, handovers, rosters }
     }
 
     /// Returns the names of the known upstreams for each data centre.
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -75,6 +75,9 @@
     pub owned_upstreams: usize,
     /// Whether the assignment of upstreams has to be recomputed.
     pub owners_stale: bool,
+    /// Upstreams whose owner has the roster of this host's runs there, with the number of the link on
+    /// which it was sent.
+    pub sent_rosters: BTreeMap<Upstream, u64>,
     /// Data centres without a live host, with the time since when.
     pub unattended_centres: BTreeMap<heathertrack::name::DataCentre, Time>,
 }
@@ -93,6 +96,8 @@
     pub takes_handovers: bool,
     /// Whether the peer understands [`Frame::Losses`].
     pub takes_losses: bool,
+    /// Whether the peer understands [`Frame::Rosters`].
+    pub takes_rosters: bool,
     /// Whether this host opened the connection.
     pub dialled: bool,
     /// Whether the peer has sent a heartbeat. Before that, it is unknown whether it dispatches.
@@ -171,6 +176,7 @@
             dispatchers: Vec::new(),
             owned_upstreams: 0,
             owners_stale: true,
+            sent_rosters: BTreeMap::new(),
             unattended_centres: BTreeMap::new(),
         }
     }
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -91,6 +91,7 @@
             let mut state = self.state.borrow_mut();
             state.pool.on_resume(now);
             state.peers.clear();
+            state.sent_rosters.clear();
             state.owners_stale = true;
         }
         self.fail_remote_jobs("this host was suspended");
