Take no run for over while another host may renew its lease

A dispatcher took a run for over once the lease that it had renewed itself had expired, unless a known host had no link. A linked host that renews the same upstream was not counted, in either direction.

What is left: (1) it may not conclude anything from its own lease, as the owner renews its runs: they are marked at the release, as are all runs beside strays, and only lists, another process or the loss of the record end them; (2) it may have renewed on a list that was older than the owner's run, so beside rosters a run is over only 400 + 714 ms after its begin, or after the last instant at which it can have begun.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -75,9 +75,15 @@
     }
 
     /// Returns whether no job is in progress and no run is left to follow to its end. A run whose
-    /// job has ended doesn't count if a competing dispatcher may keep it alive.
+    /// job has ended doesn't count if another dispatcher may keep it alive on an upstream that doesn't
+    /// respond.
     pub fn is_idle(&self) -> bool {
-        let is_ignored = |run: &Run| run.competitor_may_renew && run.job.is_none();
+        let is_silent = |upstream: &Upstream| upstream.unresponsive_since.is_some();
+        let is_ignored = |run: &Run| {
+            run.competitor_may_renew
+                && run.job.is_none()
+                && self.upstreams.get(run.upstream).is_none_or(is_silent)
+        };
         self.jobs.is_empty() && self.runs.values().all(is_ignored)
     }
 
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -96,6 +96,7 @@
     /// Handles the runs that are listed as running, and returns those of them that this dispatcher
     /// started.
     fn handle_running(&mut self, key: UpstreamKey, listing: &Listing, now: Time) -> Vec<RunKey> {
+        let shared_until = now + self.max_sharing_time();
         let mut seen = Vec::new();
         let mut foreign = Vec::new();
         for listed in &listing.running {
@@ -111,6 +112,7 @@
                 run.state = RunState::Running;
                 run.absence_proves_end_at = Some(now);
             }
+            run.shared_until = run.shared_until.min(shared_until);
             if run.percent != listed.percent {
                 run.percent = listed.percent;
                 run.progressed_at = now;
@@ -132,7 +134,8 @@
         seen
     }
 
-    /// Notes whether an upstream lists strays.
+    /// Notes whether an upstream lists strays. A host that is unknown here may renew the leases of
+    /// this dispatcher's runs beside them.
     pub(super) fn find_strays(&mut self, key: UpstreamKey) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let (name, foreign) = (&upstream.record.name, &upstream.foreign);
@@ -141,6 +144,19 @@
         };
         upstream.foreign.has_strays =
             self.options.withhold_from_strays && foreign.runs.iter().any(is_stray);
+        if upstream.foreign.has_strays {
+            for run in &upstream.runs {
+                if let Some(run) = self.runs.get_mut(*run) {
+                    run.competitor_may_renew = true;
+                }
+            }
+        }
+    }
+
+    /// Returns the time from a run's begin until no host can have renewed its lease any more because
+    /// of a list that was older than the run.
+    pub(super) fn max_sharing_time(&self) -> Duration {
+        MAX_LIST_AGE + self.options.lease.mul_f64(SLOW_CLOCK_FACTOR)
     }
 
     /// Ends runs that are absent from the list, if their absence from the answer to a poll sent at
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -37,6 +37,7 @@
         clock_ms: Option<u64>,
         now: Time,
     ) {
+        let shared_until = now + self.max_sharing_time();
         let Some(run) = self.runs.get_mut(key) else { return };
         let upstream_key = run.upstream;
         if let (Some(clock_ms), Some(upstream)) = (clock_ms, self.upstreams.get_mut(upstream_key)) {
@@ -45,6 +46,7 @@
         match answer {
             StartAnswer::Running => {
                 run.seen_running = true;
+                run.shared_until = run.shared_until.min(shared_until);
                 // While the run is being stopped, its absence from a list proves nothing before the
                 // stop is answered.
                 if run.state == RunState::Starting {
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -4,7 +4,7 @@
 use crate::pool::order::Rank;
 use crate::pool::placement::Choice;
 use crate::pool::run::{Run, RunState};
-use crate::pool::upstream::Upstream;
+use crate::pool::upstream::{SLOW_CLOCK_FACTOR, Upstream};
 use crate::pool::{Decision, Effect, JobKey, Task, UpstreamKey};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -152,6 +152,7 @@
             return false;
         }
         let lease = self.options.lease;
+        let max_sharing_time = lease.mul_f64(SLOW_CLOCK_FACTOR) + self.max_sharing_time();
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else { return false };
         let Some(lease_end_ms) = upstream.renew_lease(lease, now) else { return false };
         let Some(job) = self.jobs.get_mut(key) else { return false };
@@ -162,6 +163,8 @@
         let needs = job.request.steps[step_index].needs;
         let task = job.task(step_index, task_index);
         let task_state = &mut job.steps[step_index][task_index];
+        let is_shared =
+            !upstream.foreign.runs.is_empty() || self.rosters.has_any(&upstream.record.name);
         let run = self.runs.insert(Run {
             task: task.clone(),
             number,
@@ -176,6 +179,7 @@
             poll_for_end: false,
             seen_running: false,
             competitor_may_renew: self.has_competitors,
+            shared_until: if is_shared { now + max_sharing_time } else { Time::ZERO },
             unanswered_stops: 0,
             percent: 0,
             progressed_at: now,
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -56,6 +56,12 @@
             }
             (false, Ownership::Acquiring | Ownership::Owned) => {
                 upstream.ownership = Ownership::Released;
+                // From now on the next owner renews the leases of these runs.
+                for run in &upstream.runs {
+                    if let Some(run) = self.runs.get_mut(*run) {
+                        run.competitor_may_renew = true;
+                    }
+                }
             }
             (true, _) | (false, Ownership::Released) => {}
         }
--- a/crates/heathertrack/src/pool/roster.rs
+++ b/crates/heathertrack/src/pool/roster.rs
@@ -85,6 +85,11 @@
         self.of(upstream).any(|received| received.runs.contains(run))
     }
 
+    /// Returns whether a live host follows any run on an upstream.
+    pub fn has_any(&self, upstream: &name::Upstream) -> bool {
+        self.of(upstream).next().is_some()
+    }
+
     fn of(&self, upstream: &name::Upstream) -> impl Iterator<Item = &Received> {
         self.by_host.values().filter_map(move |rosters| rosters.by_upstream.get(upstream))
     }
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -71,6 +71,9 @@
     /// Whether a competing dispatcher may renew, or may have renewed, the lease of its upstream, so
     /// that it may outlive the lease that this dispatcher renewed.
     pub competitor_may_renew: bool,
+    /// Time until which hosts with a link may have renewed that lease before their lists showed this
+    /// run.
+    pub shared_until: Time,
     /// Number of unanswered orders to stop it.
     pub unanswered_stops: u32,
     /// Share of its work that was done when it was last listed, in percent.
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -1,11 +1,13 @@
-//! Who renews the lease of an upstream on which runs of several hosts are.
+//! Who renews the lease of an upstream on which runs of several hosts are, and what a dispatcher
+//! concludes from time that has passed.
 
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::{Id, Needs, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, Listing, Options, Pool, Roster, RunKey, RunningRun, StartAnswer, Task, UpstreamKey,
+    Effect, Listing, Options, PollFailure, Pool, Roster, RunKey, RunningRun, StartAnswer, Task,
+    UpstreamKey,
 };
 use std::time::Duration;
 
@@ -181,6 +183,53 @@
     assert!(renews(&after));
 }
 
+/// The next owner renews its leases.
+#[test]
+fn a_leaving_host_takes_no_run_for_over_because_its_own_lease_has_expired() {
+    let mut fixture = running(&["u1", "u2"]);
+    let name = fixture.pool.upstream_address(fixture.upstream).map(|(name, _)| name);
+    let name = name.expect("the upstream is known");
+    fixture.pool.update_upstream(record(name.as_str()), !OWNED, at(110));
+    for ms in [200, 300, 400] {
+        fixture.pool.on_poll_failed(fixture.upstream, PollFailure::NoAnswer, at(ms));
+    }
+
+    for ms in (900..4_000).step_by(100) {
+        fixture.pool.tick(at(ms));
+    }
+
+    assert!(starts(&fixture.pool.take_effects()).is_empty());
+}
+
+/// A host that hasn't seen the run on a list yet may have renewed its lease until then.
+#[test]
+fn a_run_beside_those_of_a_leaving_host_is_not_over_before_that_host_has_seen_it() {
+    let mut pool = pool(&["u1"]);
+    let foreign = foreign_run("foreign");
+    pool.on_roster(&Host::new("leaving"), roster("u1", &[foreign]), at(95));
+    pool.submit(job("own"), at(100));
+    let (upstream, run, _) = starts(&pool.take_effects()).remove(0);
+    pool.update_upstream(record("u2"), OWNED, at(101));
+    let other = *polls(&pool.take_effects()).last().expect("the other upstream is polled");
+    assert_ne!(other, upstream);
+    pool.on_poll_answer(other, &list(&[], 102), at(101), at(102));
+    // Nothing arrives from the upstream any more.
+    pool.on_start_answer(run, StartAnswer::Unknown, None, at(130));
+    pool.on_stop_answer(run, !CONFIRMED, None, at(190));
+    pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(200));
+    pool.take_effects();
+
+    // It may begin until 800 ms, be listed to the leaving host for the first time 400 ms later, and
+    // then last 714 ms.
+    pool.tick(at(1_900));
+    let early = starts(&pool.take_effects());
+    pool.tick(at(1_940));
+    let late = starts(&pool.take_effects());
+
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
+
 #[test]
 fn runs_of_a_host_without_a_link_are_not_renewed_however_long_they_last() {
     let mut pool = pool(&["u1"]);
