Don't start a job beside runs of its earlier submission

A dispatcher looked for runs of an earlier submission only among those that it had started itself, not among those that its upstreams list. A job whose first submission another host still follows, because it is cut off from the caller's new host, was started beside them.

Such a job is now given up as one that may have run, as for own runs; its caller sends it again.

Failed before: a_job_does_not_start_while_an_upstream_lists_a_run_of_its_earlier_submission: assertion failed: starts(&effects).is_empty()

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -96,7 +96,7 @@
         if let Some(earlier) = self.jobs_by_id.get(&request.id).copied() {
             self.finish(earlier, Outcome::MayHaveRun("submitted again"), now);
         }
-        let has_leftover_runs = self.runs.values().any(|run| run.task.job == request.id);
+        let has_leftover_runs = self.has_runs_of(&request.id);
         self.last_sequence += 1;
         let id = request.id.clone();
         let job = Job::new(request, self.last_sequence);
@@ -116,6 +116,14 @@
         key
     }
 
+    /// Returns whether a run of the job is left: one that this dispatcher started, or one that its
+    /// upstreams have listed.
+    fn has_runs_of(&self, job: &Id) -> bool {
+        let foreign =
+            |upstream: &Upstream| upstream.foreign.runs.iter().any(|(task, _)| task.job == *job);
+        self.runs.values().any(|run| run.task.job == *job) || self.upstreams.values().any(foreign)
+    }
+
     /// Ends a job whose caller has disconnected or cancelled it.
     pub fn cancel(&mut self, job: JobKey, now: Time) {
         self.finish(job, Outcome::MayHaveRun("cancelled"), now);
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -3,7 +3,7 @@
 
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
-use heathertrack::pool::job::{Id, Needs, Request, Step};
+use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
     Effect, Listing, Options, PollFailure, Pool, Roster, RunKey, RunningRun, StartAnswer, Task,
@@ -281,6 +281,22 @@
     assert_eq!(starts(&alone).len(), 1);
 }
 
+#[test]
+fn a_job_does_not_start_while_an_upstream_lists_a_run_of_its_earlier_submission() {
+    let mut fixture = running(&["u1", "u2"]);
+    let earlier = foreign_run("again");
+    let both = [fixture.row.clone(), earlier];
+    answer(&mut fixture, &both, 110);
+
+    fixture.pool.submit(job("again"), at(111));
+    let effects = fixture.pool.take_effects();
+
+    assert!(starts(&effects).is_empty());
+    let given_up =
+        |effect: &Effect| matches!(effect, Effect::Finish { outcome: Outcome::MayHaveRun(_), .. });
+    assert!(effects.iter().any(given_up));
+}
+
 /// A run that can't be stopped ends when its lease expires, also if another host renews it.
 #[test]
 fn a_run_that_does_not_answer_to_stops_leaves_the_roster() {
