Show which tasks are condemned for losses that they have no part in

Two tests of containment beside them hold already or state the new bound: a task that crashes upstreams before they answer is started twice at most, and so are two such tasks that crash theirs at the same instant.

--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -11,6 +11,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+#[path = "pool/blame.rs"]
+mod blame;
+
 /// CPU of a task, in thousandths of a core. Two such tasks fit on an upstream, three do not.
 const TASK_CPU: u32 = 6_800;
 /// Number of failed runs of one task that fails its job.
