Don't fail a job for the crash of an upstream before its run began

All runs that were ordered from an upstream counted as crashes under their tasks, also those whose start had no answer.

A crash is proven now only if the run was answered or listed as running. One that isn't proven is doubtful: it counts towards giving the job up, with "may have run", so that a task that crashes upstreams before they answer is contained after two of them; it doesn't show the job as failed. A silent loss of a run that never began says nothing at all. Other hosts are told of doubtful losses by a message of its own, which earlier releases get as a loss of unknown cause.

--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -62,6 +62,8 @@
     pub started_ms: Option<u64>,
     /// What is known of its process.
     pub cause: LossCause,
+    /// Whether these runs may not have begun, or others may have caused the loss as well.
+    pub is_doubtful: bool,
     /// The tasks of these runs, also those of jobs that have ended.
     pub tasks: Vec<Task>,
 }
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -1,5 +1,6 @@
 //! State machine of a dispatcher.
 
+mod blame;
 mod isolate;
 mod listings;
 mod orders;
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -192,6 +192,7 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         if upstream.unresponsive_since.is_none() {
             upstream.unresponsive_since = Some(now);
+            upstream.stopped_at = Some(now);
             upstream.poll_due = now;
             self.log_upstream_state(key, "does not respond", now);
         }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -3,7 +3,6 @@
 use crate::pool::job::Outcome;
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
-use crate::pool::upstream::Upstream;
 use crate::pool::{
     Decision, Effect, JobKey, Loss, LossCause, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
 };
@@ -19,12 +18,6 @@
 /// Number of unanswered orders to stop a run after which the lease of its upstream is no longer
 /// renewed, so that the run ends with it.
 pub(super) const MAX_UNANSWERED_STOPS: u32 = 2;
-/// Time within which crashes at one instant are noticed: connections close at once, and are handled
-/// as soon as the process has its turn on the CPU.
-const CRASH_NOTICE_SPAN: Duration = Duration::from_millis(50);
-/// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
-/// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
-const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
 /// Shortest duration whose logarithm is learned, in seconds: the logarithm of zero is infinite.
 const MIN_LEARNED_S: f64 = 1e-4;
 
@@ -215,10 +208,12 @@
             && !tasks.is_empty()
         {
             let age = now.since(upstream.last_answer);
-            let loss = Loss { upstream: upstream.record.name.clone(), started_ms, cause, tasks };
-            self.quarantine.record(&loss, now);
-            self.effects.push(Effect::ReportLoss(loss.clone()));
+            let upstream = upstream.record.name.clone();
+            let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
             let stopped_with_it = self.count_stopped_with(key, cause);
+            if cause != LossCause::Left {
+                self.blame_tasks(&runs, &loss, now);
+            }
             let lost = Decision::RunsLost { loss, begun, stopped_with_it, age };
             self.effects.push(Effect::Log(lost));
         }
@@ -230,20 +225,9 @@
         }
     }
 
-    /// Returns how many other upstreams stopped responding at the same time as this one, and still
-    /// don't respond.
-    fn count_stopped_with(&self, key: UpstreamKey, cause: LossCause) -> usize {
-        let stopped_at = |upstream: &Upstream| upstream.unresponsive_since;
-        let Some(at) = self.upstreams.get(key).and_then(stopped_at) else { return 0 };
-        let span = if cause.is_crash() { CRASH_NOTICE_SPAN } else { SILENCE_NOTICE_SPAN };
-        let is_close = |other: Time| other.since(at) <= span && at.since(other) <= span;
-        let others = self.upstreams.iter().filter(|(other, _)| *other != key);
-        others.filter_map(|(_, upstream)| stopped_at(upstream)).filter(|at| is_close(*at)).count()
-    }
-
     /// Handles another dispatcher's report of a loss.
     pub fn on_loss_report(&mut self, loss: &Loss, now: Time) {
-        self.quarantine.record(loss, now);
+        self.quarantine.record_report(loss, now);
         let job = |task: &Task| self.jobs_by_id.get(&task.job).copied();
         let jobs: BTreeSet<JobKey> = loss.tasks.iter().filter_map(job).collect();
         for job in jobs {
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -24,6 +24,43 @@
 /// Maximum number of tasks with losses; above it, those with the oldest loss are forgotten.
 const MAX_TASKS: usize = 4_096;
 
+/// Process of an upstream: its name, and the Unix time of its start in milliseconds if known.
+pub(super) type Process = (name::Upstream, Option<u64>);
+
+/// What the loss of an upstream says about a task that was ordered from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Blame {
+    /// Its run had begun, and nothing is known of the upstream.
+    Unknown,
+    /// The upstream crashed, but the run may not have begun.
+    Doubtful,
+    /// The upstream crashed under its run.
+    Crash,
+}
+
+impl Blame {
+    /// All values, in declaration order.
+    pub const ALL: [Blame; 3] = [Blame::Unknown, Blame::Doubtful, Blame::Crash];
+
+    /// Returns what a report of a loss says about its tasks.
+    fn of_report(report: &Loss) -> Self {
+        match (report.cause.is_crash(), report.is_doubtful) {
+            (false, _) => Blame::Unknown,
+            (true, true) => Blame::Doubtful,
+            (true, false) => Blame::Crash,
+        }
+    }
+
+    /// Returns the report of the loss of a process to other dispatchers.
+    pub fn report(self, (upstream, started_ms): Process, tasks: Vec<Task>) -> Loss {
+        let cause = match self {
+            Blame::Unknown => LossCause::Unresponsive,
+            Blame::Doubtful | Blame::Crash => LossCause::Refused,
+        };
+        Loss { upstream, started_ms, cause, is_doubtful: self == Blame::Doubtful, tasks }
+    }
+}
+
 /// What the losses of a task say about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Verdict {
@@ -31,35 +68,33 @@
     Clear,
     /// An upstream crashed under it, and it may be the cause.
     Suspect,
-    /// Too many upstreams were lost under it, but it isn't known whether they crashed.
+    /// Too many upstreams were lost under it, but it isn't proven that they crashed under it.
     Lost,
     /// Upstreams crashed under it, so it must not be started again.
     Crashing,
 }
 
-/// Process of an upstream: its name, and the Unix time of its start in milliseconds if known.
-type Process = (name::Upstream, Option<u64>);
-
 /// Losses of one task.
 #[derive(Clone, Debug)]
 struct Entry {
-    /// Cause of the loss of each process. A process counts once, however often it is reported.
-    losses: BTreeMap<Process, LossCause>,
+    /// What the loss of each process says. A process counts once, however often it is reported.
+    losses: BTreeMap<Process, Blame>,
     last_loss: Time,
 }
 
 impl Entry {
-    fn crashes(&self) -> usize {
-        self.losses.values().filter(|cause| cause.is_crash()).count()
+    /// Returns the number of losses that say at least this much.
+    fn count(&self, least: Blame) -> usize {
+        self.losses.values().filter(|blame| **blame >= least).count()
     }
 
     fn verdict(&self, now: Time) -> Verdict {
-        let (crashes, losses) = (self.crashes(), self.losses.len());
+        let crashes = self.count(Blame::Doubtful);
         if now.since(self.last_loss) > RETENTION {
             Verdict::Clear
-        } else if crashes >= MAX_CRASHES {
+        } else if self.count(Blame::Crash) >= MAX_CRASHES {
             Verdict::Crashing
-        } else if losses >= MAX_LOSSES {
+        } else if crashes >= MAX_CRASHES || self.losses.len() >= MAX_LOSSES {
             Verdict::Lost
         } else if crashes > 0 {
             Verdict::Suspect
@@ -78,25 +113,21 @@
 }
 
 impl Quarantine {
-    /// Records a loss. One that was recorded before changes nothing, unless more is known of its
-    /// cause.
-    pub fn record(&mut self, loss: &Loss, now: Time) {
-        if loss.cause == LossCause::Left {
-            return;
-        }
+    /// Records what the loss of an upstream's process says about tasks. A loss that was recorded
+    /// before changes nothing, unless it says more now.
+    pub fn record(&mut self, process: &Process, tasks: &[Task], blame: Blame, now: Time) {
         self.entries.retain(|_, entry| now.since(entry.last_loss) <= RETENTION);
-        let process = (loss.upstream.clone(), loss.started_ms);
-        for task in &loss.tasks {
+        for task in tasks {
             let entry = self
                 .entries
                 .entry(task.clone())
                 .or_insert_with(|| Entry { losses: BTreeMap::new(), last_loss: now });
-            let before = entry.losses.get(&process).copied();
-            entry.losses.insert(process.clone(), before.unwrap_or(loss.cause).max(loss.cause));
+            let before = entry.losses.get(process).copied();
+            entry.losses.insert(process.clone(), before.unwrap_or(blame).max(blame));
             if before.is_none() {
                 entry.last_loss = now;
             }
-            if entry.verdict(now) == Verdict::Crashing {
+            if entry.count(Blame::Doubtful) >= MAX_CRASHES {
                 self.last_conviction = Some(now);
             }
         }
@@ -107,30 +138,35 @@
         }
     }
 
-    /// Returns the losses that are remembered, by process.
+    /// Records another dispatcher's report of a loss.
+    pub fn record_report(&mut self, loss: &Loss, now: Time) {
+        if loss.cause != LossCause::Left {
+            let process = (loss.upstream.clone(), loss.started_ms);
+            self.record(&process, &loss.tasks, Blame::of_report(loss), now);
+        }
+    }
+
+    /// Returns reports of the losses that are remembered.
     pub fn losses(&self, now: Time) -> Vec<Loss> {
-        let mut losses: BTreeMap<(&Process, LossCause), Vec<Task>> = BTreeMap::new();
+        let mut losses: BTreeMap<(&Process, Blame), Vec<Task>> = BTreeMap::new();
         let remembered = |(_, entry): &(&Task, &Entry)| now.since(entry.last_loss) <= RETENTION;
         for (task, entry) in self.entries.iter().filter(remembered) {
-            for (process, cause) in &entry.losses {
-                losses.entry((process, *cause)).or_default().push(task.clone());
+            for (process, blame) in &entry.losses {
+                losses.entry((process, *blame)).or_default().push(task.clone());
             }
         }
-        let loss = |(((upstream, started_ms), cause), tasks): ((&Process, LossCause), _)| Loss {
-            upstream: upstream.clone(),
-            started_ms: *started_ms,
-            cause,
-            tasks,
+        let report = |((process, blame), tasks): ((&Process, Blame), _)| {
+            blame.report(process.clone(), tasks)
         };
-        losses.into_iter().map(loss).collect()
+        losses.into_iter().map(report).collect()
     }
 
     /// Records that a process is known to have ended.
     pub fn confirm(&mut self, upstream: &name::Upstream, started_ms: Option<u64>) {
         let process = (upstream.clone(), started_ms);
         for entry in self.entries.values_mut() {
-            if let Some(cause) = entry.losses.get_mut(&process) {
-                *cause = LossCause::Replaced;
+            if let Some(blame) = entry.losses.get_mut(&process) {
+                *blame = Blame::Crash;
             }
         }
     }
@@ -161,9 +197,10 @@
             .max_by_key(|(_, verdict)| *verdict)
     }
 
-    /// Returns how many upstreams crashed and how many were lost under a task.
+    /// Returns how many upstreams are proven to have crashed, and how many were lost under a task.
     pub fn counts(&self, task: &Task) -> (usize, usize) {
-        self.entries.get(task).map_or((0, 0), |entry| (entry.crashes(), entry.losses.len()))
+        let counts = |entry: &Entry| (entry.count(Blame::Crash), entry.losses.len());
+        self.entries.get(task).map_or((0, 0), counts)
     }
 
     /// Returns the number of tasks with losses that are still remembered.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -117,6 +117,8 @@
     pub failed_polls: u32,
     /// When an order or a poll first failed since the last answer, if one has.
     pub unresponsive_since: Option<Time>,
+    /// When it last stopped responding.
+    pub stopped_at: Option<Time>,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -152,6 +154,7 @@
             lease_expiry: now,
             failed_polls: 0,
             unresponsive_since: None,
+            stopped_at: None,
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! Execution of the effects that the dispatcher's state machine requests.
 
 use super::boot_clock::Clock;
-use super::frame::{Frame, LossWire};
+use super::frame::Frame;
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use super::state::{Peer, Reply};
@@ -86,9 +86,10 @@
             peer.takes_losses && (peer.is_dispatcher() || is_near)
         };
         for peer in state.peers.values().filter(takes_them) {
-            let losses = losses.iter().map(LossWire::from).collect();
-            if peer.frames.try_send(Frame::Losses { losses }).is_err() {
-                self.event_log.link_full(&peer.record.name);
+            for frame in Frame::report_losses(&losses, peer.takes_doubtful_losses) {
+                if peer.frames.try_send(frame).is_err() {
+                    self.event_log.link_full(&peer.record.name);
+                }
             }
         }
     }
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -61,6 +61,9 @@
     /// Reports runs that were lost with their upstreams. Sent only to hosts with
     /// [`Hello::takes_losses`].
     Losses { losses: Vec<LossWire> },
+    /// Reports losses that others than these tasks may have caused. Sent only to hosts with
+    /// [`Hello::takes_doubtful_losses`].
+    DoubtfulLosses { losses: Vec<LossWire> },
 }
 
 /// Identity of the sender.
@@ -80,6 +83,10 @@
     /// Whether the sender understands [`Frame::Losses`]. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
     pub takes_losses: bool,
+    /// Whether the sender understands [`Frame::DoubtfulLosses`]. Earlier releases don't send this
+    /// field.
+    #[serde(deserialize_with = "or_default")]
+    pub takes_doubtful_losses: bool,
 }
 
 /// Reads a field that earlier releases don't send. Only such fields may follow it in its message, as
@@ -218,6 +225,7 @@
             cpu_share: record.cpu_share,
             takes_handovers: true,
             takes_losses: true,
+            takes_doubtful_losses: true,
         }
     }
 }
@@ -379,17 +387,42 @@
     }
 }
 
-impl From<LossWire> for Loss {
-    fn from(wire: LossWire) -> Self {
+impl LossWire {
+    /// Returns the loss of a report.
+    pub fn into_loss(self, is_doubtful: bool) -> Loss {
         Loss {
-            upstream: Upstream::new(wire.upstream),
-            started_ms: wire.started_ms,
-            cause: wire.cause.into(),
-            tasks: wire.tasks.into_iter().map(Task::from).collect(),
+            upstream: Upstream::new(self.upstream),
+            started_ms: self.started_ms,
+            cause: self.cause.into(),
+            is_doubtful,
+            tasks: self.tasks.into_iter().map(Task::from).collect(),
         }
     }
 }
 
+impl Frame {
+    /// Returns the messages that report losses. A host that doesn't take doubtful ones is told of
+    /// them as losses for an unknown cause.
+    pub fn report_losses(losses: &[Loss], takes_doubtful_losses: bool) -> Vec<Frame> {
+        let is_separate = |loss: &&Loss| loss.is_doubtful && takes_doubtful_losses;
+        let (doubtful, plain): (Vec<&Loss>, Vec<&Loss>) = losses.iter().partition(is_separate);
+        let plain = plain.into_iter().map(|loss| {
+            let cause = if loss.is_doubtful { LossCause::Unresponsive } else { loss.cause };
+            LossWire { cause: cause.into(), ..LossWire::from(loss) }
+        });
+        let doubtful = doubtful.into_iter().map(LossWire::from);
+        let frames = [
+            Frame::Losses { losses: plain.collect() },
+            Frame::DoubtfulLosses { losses: doubtful.collect() },
+        ];
+        let is_empty = |frame: &Frame| {
+            matches!(frame, Frame::Losses { losses } | Frame::DoubtfulLosses { losses }
+                if losses.is_empty())
+        };
+        frames.into_iter().filter(|frame| !is_empty(frame)).collect()
+    }
+}
+
 impl From<LossCause> for CauseWire {
     fn from(cause: LossCause) -> Self {
         match cause {
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -179,7 +179,8 @@
                 entry.apply_changes(Changes { items, revision }, false);
             }
             Frame::Handover { upstreams } => entry.handle_handover(upstreams),
-            Frame::Losses { losses } => entry.handle_losses(losses),
+            Frame::Losses { losses } => entry.handle_losses(losses, false),
+            Frame::DoubtfulLosses { losses } => entry.handle_losses(losses, true),
         }
     }
 }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -33,7 +33,7 @@
         dialled: bool,
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
-        let Hello { incarnation, takes_handovers, takes_losses, .. } = hello;
+        let Hello { incarnation, takes_handovers, takes_losses, takes_doubtful_losses, .. } = hello;
         let record = HostRecord::from(hello);
         let host = record.name.clone();
         // If two hosts dialled each other, both keep the link that the host with the smaller name
@@ -61,6 +61,7 @@
             incarnation,
             takes_handovers,
             takes_losses,
+            takes_doubtful_losses,
             dialled,
             // The state and load are unknown until the first heartbeat of the peer.
             has_reported: false,
@@ -78,10 +79,11 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let losses = state.pool.remembered_losses(now);
-        if takes_losses && !losses.is_empty() {
-            let losses = losses.iter().map(LossWire::from).collect();
-            // The queue of a new link has room.
-            let _ = peer.frames.try_send(Frame::Losses { losses });
+        if takes_losses {
+            for frame in Frame::report_losses(&losses, takes_doubtful_losses) {
+                // The queue of a new link has room.
+                let _ = peer.frames.try_send(frame);
+            }
         }
         state.peers.insert(host.clone(), peer);
         state.hosts.insert(host.clone(), record);
@@ -239,10 +241,10 @@
     }
 
     /// Records runs that were lost at another dispatcher.
-    pub(super) fn handle_losses(self: &Rc<Self>, losses: Vec<LossWire>) {
+    pub(super) fn handle_losses(self: &Rc<Self>, losses: Vec<LossWire>, are_doubtful: bool) {
         self.with_pool(|pool, now| {
             for loss in losses {
-                pool.on_loss_report(&loss.into(), now);
+                pool.on_loss_report(&loss.into_loss(are_doubtful), now);
             }
         });
     }
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -93,6 +93,8 @@
     pub takes_handovers: bool,
     /// Whether the peer understands [`Frame::Losses`].
     pub takes_losses: bool,
+    /// Whether the peer understands [`Frame::DoubtfulLosses`].
+    pub takes_doubtful_losses: bool,
     /// Whether this host opened the connection.
     pub dialled: bool,
     /// Whether the peer has sent a heartbeat. Before that, it is unknown whether it dispatches.
