Don't fail a suspect for a crash that another run beside it may have caused

Suspects beyond the number of upstreams that may be kept for them start beside other runs. If such an upstream crashed as well, all suspects there were shown as failed, though at most one of them had caused it. The second crash is proven only if the suspect ran alone; otherwise the job is given up with "may have run", so that containment stays at two upstreams.

--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -38,7 +38,7 @@
     pub(super) fn blame_tasks(&mut self, runs: &[RunKey], loss: &Loss, now: Time) {
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
-        let blamed = |run: &Run| Some((run.task.clone(), Self::blame(run, loss.cause)?));
+        let blamed = |run: &Run| Some((run.task.clone(), self.blame(run, loss.cause, now)?));
         let blamed: Vec<(Task, Blame)> = lost.filter_map(blamed).collect();
         for blame in Blame::ALL {
             let of_blame = blamed.iter().filter(|(_, other)| *other == blame);
@@ -51,10 +51,15 @@
     }
 
     /// Returns what the loss of a run says about its task; `None` if nothing.
-    fn blame(run: &Run, cause: LossCause) -> Option<Blame> {
+    fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Option<Blame> {
         if !cause.is_crash() {
             return run.seen_running.then_some(Blame::Unknown);
         }
-        Some(if run.seen_running { Blame::Crash } else { Blame::Doubtful })
+        let is_alone =
+            |upstream: &Upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty();
+        let is_only_suspect = !self.quarantine.is_suspect(&run.task, now)
+            || self.upstreams.get(run.upstream).is_some_and(is_alone);
+        let is_proven = run.seen_running && is_only_suspect;
+        Some(if is_proven { Blame::Crash } else { Blame::Doubtful })
     }
 }
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -32,7 +32,7 @@
 pub(super) enum Blame {
     /// Its run had begun, and nothing is known of the upstream.
     Unknown,
-    /// The upstream crashed, but the run may not have begun.
+    /// The upstream crashed, but the run may not have begun, or another one ran beside this suspect.
     Doubtful,
     /// The upstream crashed under its run.
     Crash,
@@ -197,6 +197,11 @@
             .max_by_key(|(_, verdict)| *verdict)
     }
 
+    /// Returns whether an upstream crashed under a task, as far as known.
+    pub fn is_suspect(&self, task: &Task, now: Time) -> bool {
+        self.entries.get(task).is_some_and(|entry| entry.verdict(now) >= Verdict::Suspect)
+    }
+
     /// Returns how many upstreams are proven to have crashed, and how many were lost under a task.
     pub fn counts(&self, task: &Task) -> (usize, usize) {
         let counts = |entry: &Entry| (entry.count(Blame::Crash), entry.losses.len());
