Play common crashes in the model

Two thirds of the upstreams crash in two groups, the second one while the tasks of the first are started again.

--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -3,7 +3,7 @@
 //! `HEATHERTRACK_SEEDS=500 cargo test --release -p heathertrack_model`.
 
 use heathertrack::pool::Options;
-use heathertrack_model::{Fault, FaultKind, Plan, Site, Violation, simulate};
+use heathertrack_model::{Fault, FaultKind, Load, Plan, Site, Violation, simulate};
 use std::time::Duration;
 
 /// Number of seeds that CI runs.
@@ -173,3 +173,34 @@
         assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
     }
 }
+
+/// Returns the number of log lines of an event.
+fn count_events(log: &[String], event: &str) -> usize {
+    let field = format!("\"event\":\"{event}\"");
+    log.iter().filter(|line| line.contains(&field)).count()
+}
+
+/// Two thirds of the upstreams crash in two groups, so that tasks of the first group are started
+/// again on upstreams of the second one.
+#[test]
+fn common_crashes_condemn_no_task() {
+    for seed in 0..seeds() {
+        let plan = Plan::small(seed);
+        let upstreams_each = 16;
+        let site = Site { upstreams_each, ..plan.site.clone() };
+        let crash = |upstream: usize| {
+            let is_first = upstream % 3 == 0;
+            let at = Duration::from_millis(if is_first { 2_000 } else { 2_760 });
+            Fault { at, kind: FaultKind::Crash { upstream, down: Duration::from_secs(2) } }
+        };
+        let all = 0..site.centres * upstreams_each;
+        let faults = all.filter(|upstream| upstream % 3 != 2).map(crash).collect();
+        let load = Load { factor: 0.6, ..plan.load.clone() };
+
+        let verdict = simulate(&Plan { site, faults, load, ..plan });
+
+        assert!(count_events(&verdict.log, "runs_lost") > 0, "seed {seed}: no run was lost");
+        assert_eq!(count_events(&verdict.log, "task_quarantined"), 0, "seed {seed}");
+        assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
+    }
+}
