--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -13,7 +13,7 @@
 /// What is known of an upstream's process when runs are lost with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossCause {
-    /// Its record said that it was leaving.
+    /// It left as planned, or turned out to run on.
     Left,
     /// Nothing came from it: it has crashed, is suspended or partitioned.
     Unresponsive,
@@ -62,6 +62,8 @@
     pub started_ms: Option<u64>,
     /// What is known of its process.
     pub cause: LossCause,
+    /// Whether these runs may not have begun, or others may have caused the loss as well.
+    pub is_doubtful: bool,
     /// The tasks of these runs, also those of jobs that have ended.
     pub tasks: Vec<Task>,
 }
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -1,7 +1,7 @@
 //! Upstreams as a dispatcher tracks them.
 
 use super::health::Health;
-use super::job::{Needs, Step};
+use super::job::{Id, Needs, Step};
 use super::speed::Speed;
 use super::{Listing, LossCause, RunKey, Task};
 use crate::clock::Time;
@@ -117,6 +117,12 @@
     pub failed_polls: u32,
     /// When an order or a poll first failed since the last answer, if one has.
     pub unresponsive_since: Option<Time>,
+    /// When it last stopped responding.
+    pub stopped_at: Option<Time>,
+    /// Jobs that had runs here then.
+    pub stopped_jobs: BTreeSet<Id>,
+    /// Whether runs were lost with it since it last answered a poll.
+    pub has_lost_runs: bool,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -156,6 +162,9 @@
             lease_expiry: now,
             failed_polls: 0,
             unresponsive_since: None,
+            stopped_at: None,
+            stopped_jobs: BTreeSet::new(),
+            has_lost_runs: false,
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
@@ -195,9 +204,15 @@
     }
 
     /// Returns what is known of the process with which the runs here were lost, as another one has
-    /// answered.
-    pub fn replacement_cause(&self) -> LossCause {
-        if self.record.draining { LossCause::Left } else { LossCause::Replaced }
+    /// answered. The process may have ended after the lease of the runs.
+    pub fn replacement_cause(&self, now: Time) -> LossCause {
+        if self.record.draining {
+            LossCause::Left
+        } else if now <= self.lease_expiry {
+            LossCause::Replaced
+        } else {
+            LossCause::Unresponsive
+        }
     }
 
     /// Returns what is known of the process with which the runs here were lost, if it has not been
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -96,6 +96,8 @@
     pub takes_handovers: bool,
     /// Whether the peer understands [`Frame::Losses`].
     pub takes_losses: bool,
+    /// Whether the peer understands [`Frame::DoubtfulLosses`].
+    pub takes_doubtful_losses: bool,
     /// Whether the peer understands [`Frame::Rosters`].
     pub takes_rosters: bool,
     /// Whether this host opened the connection.
