Keep the link to a host whose address is on record twice

A host record under another name with the address of a live host, as a renamed host or another writer leaves it, was dialled although that host was linked: every 100 ms, as a linked address has no backoff. The host that was reached replaced its link by the new one, and the jobs on the link ended. Callers saw 504 with "its dispatcher is gone".

A host that dials now identifies itself only after it has learnt whom it has reached, and closes the connection if that process is linked already. Records with the address of a linked host or of this host itself are not dialled, and name no competing dispatcher.

The test failed before:

aaa at 127.64.43.219:12010: 11 links lost, Status(504, "{\"error\":\"its dispatcher is gone\"}", None)

A host that accepts connections has always sent its name first, so hosts of this and of earlier releases link to each other.

--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -57,11 +57,8 @@
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
     let framed = Framed::new(stream, codec);
     let mut link = Link { entry: entry.clone(), framed, transit: Cell::default() };
-    let Some(hello) = link.exchange_hello().await else { return };
+    let Some(hello) = link.exchange_hello(dialled).await else { return };
     let host = Host::new(hello.name.clone());
-    if host == entry.record.name {
-        return;
-    }
     let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
     let Some(link_number) = entry.add_peer(hello, dialled, frames) else { return };
     let why = link.serve(&host, queue).await;
@@ -70,15 +67,33 @@
 
 impl<E: Environment> Link<E> {
     /// Identifies this host to the peer. Returns the peer's identity, or `None` if the handshake
-    /// fails.
-    async fn exchange_hello(&mut self) -> Option<Hello> {
-        let hello = Frame::Hello(Hello::new(&self.entry.record, self.entry.incarnation));
-        self.send(hello).await.ok()?;
+    /// fails or the peer needs no further link.
+    ///
+    /// The host that dialled identifies itself last: the record whose address it dialled may be out
+    /// of date or wrong, and a peer that is already linked would replace that link by this one.
+    async fn exchange_hello(&mut self, dialled: bool) -> Option<Hello> {
+        if !dialled {
+            self.send_hello().await?;
+        }
         let (frame, _) = timeout(PEER_TIMEOUT, self.receive()).await.ok()??;
         let Frame::Hello(hello) = frame else { return None };
+        if hello.name == self.entry.record.name.as_str() {
+            return None;
+        }
+        if dialled {
+            if self.entry.is_linked_to(&hello) {
+                return None;
+            }
+            self.send_hello().await?;
+        }
         Some(hello)
     }
 
+    async fn send_hello(&mut self) -> Option<()> {
+        let hello = Frame::Hello(Hello::new(&self.entry.record, self.entry.incarnation));
+        self.send(hello).await.ok()
+    }
+
     async fn send(&mut self, frame: Frame) -> Result<(), &'static str> {
         let bytes = self.encode(frame)?;
         let sent = timeout(PEER_TIMEOUT, self.framed.send(bytes)).await;
--- a/crates/heathertrackd/src/entry/link/dial.rs
+++ b/crates/heathertrackd/src/entry/link/dial.rs
@@ -82,7 +82,8 @@
         for (host, record) in &state.hosts {
             let is_needed =
                 state.link_relation(&self.record, record, &seeds).needs_link(state.hosts.len());
-            if *host == self.record.name || state.peers.contains_key(host) || !is_needed {
+            let is_own = *host == self.record.name || record.peers == self.record.peers;
+            if is_own || !is_needed || state.is_reached(record) {
                 unlinked_since.remove(host);
                 continue;
             }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -89,6 +89,13 @@
         Some(link_number)
     }
 
+    /// Returns whether there is a link to the process that identifies itself by `hello`.
+    pub(super) fn is_linked_to(&self, hello: &Hello) -> bool {
+        let state = self.state.borrow();
+        let peer = state.peers.get(&Host::new(&hello.name));
+        peer.is_some_and(|peer| peer.incarnation == hello.incarnation)
+    }
+
     /// Removes the link with this number, unless another link to the host has replaced it. Jobs
     /// that were handed over on it, in either direction, end.
     pub(super) fn remove_peer(self: &Rc<Self>, host: &Host, link: u64, why: &str) {
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -144,7 +144,11 @@
     ) -> bool {
         self.hosts.values().all(|host| {
             host.name == own.name
-                || self.peers.get(&host.name).is_some_and(&condition)
+                || host.peers == own.peers
+                || match self.peers.get(&host.name) {
+                    Some(peer) => condition(peer),
+                    None => self.is_reached(host),
+                }
                 || !self.link_relation(own, host, seeds).needs_link(self.hosts.len())
         })
     }
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Returns whether a host has a link, or another host has one and listens at its address. A
+    /// record of the former is then out of date or wrong.
+    pub fn is_reached(&self, host: &HostRecord) -> bool {
+        self.peers.contains_key(&host.name)
+            || self.peers.values().any(|peer| peer.record.peers == host.peers)
+    }
+
     /// Returns whether a peer holds a job of this host.
     pub fn has_remote_job(&self, host: &Host) -> bool {
         self.remote_jobs.values().any(|job| job.host == *host)
