Saturate the number of free slots of a dispatcher

Two upstreams whose records claim the largest capacity, with tasks of a thousandth of a core, made the sum of free slots overflow. In a debug build the task that sends heartbeats panicked, and the process went on without it, so that other hosts took it for gone; in a release build the sum wrapped.

The test failed before:

thread panicked at crates/heathertrack/src/pool/machine.rs:243:17: attempt to add with overflow

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -240,7 +240,8 @@
             load.cores += f64::from(upstream.capacity.cpu) * weighted_millicore;
             load.busy_cores += f64::from(upstream.used.cpu) * weighted_millicore;
             if upstream.accepts_starts(now) {
-                load.free_slots += upstream.free().cpu / mean_cpu;
+                let slots = upstream.free().cpu / mean_cpu;
+                load.free_slots = load.free_slots.saturating_add(slots);
             }
         }
         for job in self.jobs.values() {
