Cut long texts in log lines

A line about an unreadable item holds the message of the parser, which repeats the text that it found: one entry of the store made lines as long as itself, up to a megabyte, 200 of them a second at most.

Texts of a line are cut at 512 bytes.

--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -24,6 +24,9 @@
 /// Maximum number of lines written per second for each event name. The next line with that name
 /// reports how many were suppressed.
 const MAX_LINES_PER_SECOND: u32 = 200;
+/// Maximum length of a text in a line, in bytes. Longer ones, such as a part of an unreadable item in
+/// an error message, are cut.
+const MAX_TEXT_BYTES: usize = 512;
 /// Number of lines that can be queued for the writing thread. Further lines are dropped, because
 /// the event loop must not block on the log.
 const QUEUE_LINES: usize = 2_048;
@@ -115,6 +118,7 @@
     fn write_at(&self, event: &'static str, time: EventTime, mut fields: Value) {
         let Some(suppressed) = self.limiter.allow(event) else { return };
         if let Some(fields) = fields.as_object_mut() {
+            fields.values_mut().for_each(cut_text);
             fields.insert("event".to_owned(), event.into());
             fields.insert("time_ms".to_owned(), time.unix_ms.into());
             fields.insert("up_ms".to_owned(), time.up_ms.into());
@@ -335,6 +339,16 @@
     }
 }
 
+/// Cuts a text that is longer than [`MAX_TEXT_BYTES`], and marks it with an ellipsis.
+fn cut_text(field: &mut Value) {
+    if let Value::String(text) = field
+        && text.len() > MAX_TEXT_BYTES
+    {
+        text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+        text.push('…');
+    }
+}
+
 /// Returns a duration in milliseconds, rounded to one decimal.
 pub fn ms(span: Duration) -> f64 {
     (span.as_secs_f64() * 10_000.0).round() / 10.0
