Register the record of a host again after another writer changed it

A host only renewed the lease of its record. If another writer replaced or removed the record, it stayed so for good while the lease was renewed: hosts that started later dialled the wrong address or knew of no such host, and the others no longer counted it as a dispatcher that may compete when it is cut off.

The store returns the revision of a registration. The former lease ends by itself.

--- a/crates/heathertrack_model/src/store.rs
+++ b/crates/heathertrack_model/src/store.rs
@@ -3,7 +3,8 @@
 use super::network::{Network, Node};
 use heathertrack::name::{Host, Upstream};
 use heathertrack_platform::{
-    CallError, Changes, DecodedItem, HostRecord, Item, KeyKind, LeaseId, MetadataStore, WatchError,
+    CallError, Changes, DecodedItem, HostRecord, Item, KeyKind, LeaseId, MetadataStore,
+    Registration, WatchError,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -141,10 +142,13 @@
         self.watch(|item| item.key == CONFIGURATION, after, wait).await
     }
 
-    async fn register(&self, host: &HostRecord, _: Duration) -> Result<LeaseId, CallError> {
-        self.call(Duration::ZERO, async { self.state.put(DecodedItem::Host(host.clone())) })
-            .await?;
-        Ok(LeaseId(self.host as u64))
+    async fn register(&self, host: &HostRecord, _: Duration) -> Result<Registration, CallError> {
+        let put = async {
+            self.state.put(DecodedItem::Host(host.clone()));
+            self.state.revision.get()
+        };
+        let revision = self.call(Duration::ZERO, put).await?;
+        Ok(Registration { lease: LeaseId(self.host as u64), revision })
     }
 
     async fn renew_lease(&self, _: LeaseId) -> Result<bool, CallError> {
--- a/crates/heathertrack_platform/src/lib.rs
+++ b/crates/heathertrack_platform/src/lib.rs
@@ -36,7 +36,8 @@
 pub use host_settings::HostSettings;
 pub use http::Client;
 pub use metadata_store::{
-    Changes, DecodedItem, HostRecord, Item, KeyKind, LeaseId, MetadataStore, WatchError,
+    Changes, DecodedItem, HostRecord, Item, KeyKind, LeaseId, MetadataStore, Registration,
+    WatchError,
 };
 pub use store::{Store, Swap, SwapResult, Value};
 pub use upstream_client::{Poll, StartOrder, UpstreamClient};
--- a/crates/heathertrack_platform/src/metadata_store.rs
+++ b/crates/heathertrack_platform/src/metadata_store.rs
@@ -68,6 +68,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
 
+/// A host's record as it was written to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// Lease with which the record expires.
+    pub lease: LeaseId,
+    /// Revision of the store at which the record was written.
+    pub revision: u64,
+}
+
 /// Error of a watch.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum WatchError {
@@ -108,7 +117,7 @@
         &self,
         host: &HostRecord,
         ttl: Duration,
-    ) -> impl Future<Output = Result<LeaseId, CallError>>;
+    ) -> impl Future<Output = Result<Registration, CallError>>;
 
     /// Renews a lease. Returns false if it no longer exists.
     fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<bool, CallError>>;
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -5,7 +5,7 @@
 use heathertrack::clock::Time;
 use heathertrack::membership::depth::{MirrorScope, full_read_period};
 use heathertrack_platform::{
-    Changes, DecodedItem, Item, KeyKind, LeaseId, MetadataStore, WatchError,
+    Changes, DecodedItem, Item, KeyKind, MetadataStore, Registration, WatchError,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -183,17 +183,17 @@
     }
 }
 
-/// Registers the record of this host in the store, and renews it. If its lease has expired, the
-/// record is registered again.
+/// Registers the record of this host in the store, and renews it. If its lease has expired, or
+/// another writer has replaced or removed the record, it is registered again.
 async fn maintain_record<E: Environment>(entry: Rc<EntryHost<E>>) {
     let store = entry.environment.metadata_store().clone();
-    let mut lease: Option<LeaseId> = None;
+    let mut registration: Option<Registration> = None;
     loop {
-        let pause = match lease {
+        let pause = match registration {
             None => match store.register(&entry.record, RECORD_TTL).await {
-                Ok(id) => {
-                    lease = Some(id);
-                    entry.lease.set(lease);
+                Ok(registered) => {
+                    registration = Some(registered);
+                    entry.lease.set(Some(registered.lease));
                     RENEWAL_PERIOD
                 }
                 Err(error) => {
@@ -201,11 +201,16 @@
                     RETRY_PAUSE
                 }
             },
-            Some(id) => match store.renew_lease(id).await {
+            Some(registered) if entry.state.borrow().own_record_revision > registered.revision => {
+                entry.event_log.host_record_failed("renewed", "another writer has changed it");
+                registration = None;
+                Duration::ZERO
+            }
+            Some(registered) => match store.renew_lease(registered.lease).await {
                 Ok(true) => RENEWAL_PERIOD,
                 Ok(false) => {
                     entry.event_log.host_record_failed("renewed", "its lease has expired");
-                    lease = None;
+                    registration = None;
                     Duration::ZERO
                 }
                 Err(error) => {
@@ -260,6 +265,9 @@
         });
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        if matches!(&key_kind, KeyKind::Host(name) if *name == self.record.name) {
+            state.own_record_revision = state.own_record_revision.max(item.revision);
+        }
         match (key_kind, decoded) {
             (_, Some(Ok(DecodedItem::Configuration(table)))) => {
                 let before = state.version();
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -33,6 +33,8 @@
     pub missing_upstreams: BTreeMap<Upstream, Time>,
     /// Hosts known from the store or from a link.
     pub hosts: BTreeMap<Host, HostRecord>,
+    /// Revision of the last known change of the record of this host in the store, by whichever writer.
+    pub own_record_revision: u64,
     /// Hosts with a live link.
     pub peers: BTreeMap<Host, Peer>,
     /// Destinations of the outcomes of jobs in the pool of this host.
@@ -152,6 +154,7 @@
             upstreams: BTreeMap::new(),
             missing_upstreams: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            own_record_revision: 0,
             peers: BTreeMap::new(),
             replies: BTreeMap::new(),
             remote_jobs: BTreeMap::new(),
