--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -25,6 +25,11 @@
             key
         });
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        if upstream.is_contradicted_by(&record) {
+            self.set_owned(key, owned, now);
+            self.on_record_missing(key, "record names another address", now);
+            return;
+        }
         let has_restarted = record.started_ms.is_some()
             && upstream.started_ms.is_some()
             && record.started_ms > upstream.started_ms;
@@ -99,11 +104,15 @@
     /// current runs are followed to their end.
     pub fn on_record_lost(&mut self, name: &name::Upstream, now: Time) {
         let Some(key) = self.upstreams_by_name.get(name).copied() else { return };
+        self.on_record_missing(key, "record is gone from the store", now);
+    }
+
+    fn on_record_missing(&mut self, key: UpstreamKey, state: &'static str, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key)
             && upstream.missing_since.is_none()
         {
             upstream.missing_since = Some(now);
-            self.log_upstream_state(key, "record is gone from the store", now);
+            self.log_upstream_state(key, state, now);
         }
     }
 
--- /dev/null
+++ b/crates/heathertrack/tests/records.rs
@@ -0,0 +1,65 @@
+//! Records that contradict what an upstream has answered.
+
+use heathertrack::clock::Time;
+use heathertrack::name::{DataCentre, Upstream};
+use heathertrack::pool::job::Needs;
+use heathertrack::pool::upstream::Record;
+use heathertrack::pool::{Effect, Listing, Options, Pool, UpstreamKey};
+
+fn record(address: &str, started_ms: Option<u64>) -> Record {
+    Record {
+        name: Upstream::new("i-0"),
+        address: address.into(),
+        service: "service".into(),
+        data_centre: DataCentre::new("a"),
+        capacity: Needs { cpu: 16_000, memory: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+        started_ms,
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// Returns a dispatcher whose only upstream has answered at an address, as a process that started at
+/// 1 ms.
+fn pool() -> (Pool, UpstreamKey) {
+    let mut pool = Pool::new(Options::default());
+    pool.update_upstream(record("10.0.0.1:80", Some(1)), true, at(0));
+    let mut upstream = None;
+    for effect in pool.take_effects() {
+        if let Effect::Poll { upstream: key, .. } = effect {
+            let listing = Listing { clock_ms: 5_000, started_ms: 1, ..Listing::default() };
+            pool.on_poll_answer(key, &listing, at(0), at(1));
+            upstream = Some(key);
+        }
+    }
+    (pool, upstream.expect("the upstream is polled"))
+}
+
+fn address(pool: &Pool, upstream: UpstreamKey) -> String {
+    pool.upstream_address(upstream).map(|(_, address)| address).unwrap_or_default()
+}
+
+#[test]
+fn false_address_of_a_process_that_answered_is_not_used() {
+    let (mut pool, upstream) = pool();
+
+    pool.update_upstream(record("10.0.0.2:80", Some(1)), true, at(10));
+
+    assert_eq!(address(&pool, upstream), "10.0.0.1:80");
+    assert!(pool.load(at(10)).cores < f64::EPSILON, "nothing is started beside a false record");
+    pool.update_upstream(record("10.0.0.1:80", Some(1)), true, at(20));
+    assert!(pool.load(at(20)).cores > 0.0);
+}
+
+#[test]
+fn address_of_a_process_that_started_later_is_used() {
+    let (mut pool, upstream) = pool();
+
+    pool.update_upstream(record("10.0.0.2:80", Some(2)), true, at(10));
+
+    assert_eq!(address(&pool, upstream), "10.0.0.2:80");
+}
