--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -33,6 +33,8 @@
     pub missing_upstreams: BTreeMap<Upstream, Time>,
     /// Hosts known from the store or from a link.
     pub hosts: BTreeMap<Host, HostRecord>,
+    /// Revision of the last known change of the record of this host in the store, by whichever writer.
+    pub own_record_revision: u64,
     /// Hosts with a live link.
     pub peers: BTreeMap<Host, Peer>,
     /// Destinations of the outcomes of jobs in the pool of this host.
@@ -159,6 +161,7 @@
             upstreams: BTreeMap::new(),
             missing_upstreams: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            own_record_revision: 0,
             peers: BTreeMap::new(),
             replies: BTreeMap::new(),
             remote_jobs: BTreeMap::new(),
@@ -200,6 +203,13 @@
         }
     }
 
+    /// Returns whether a host has a link, or another host has one and listens at its address. A
+    /// record of the former is then out of date or wrong.
+    pub fn is_reached(&self, host: &HostRecord) -> bool {
+        self.peers.contains_key(&host.name)
+            || self.peers.values().any(|peer| peer.record.peers == host.peers)
+    }
+
     /// Returns whether a peer holds a job of this host.
     pub fn has_remote_job(&self, host: &Host) -> bool {
         self.remote_jobs.values().any(|job| job.host == *host)
