Contain tasks that crash upstreams in step, and remember common losses

Three tasks that crashed their upstreams in the same 50 ms, before any was known to do so, blamed none: their leases expired together, so that they started and crashed in step again, five upstreams each, and as often for each further submission, as the count ended with the job. Common losses are now kept in the quarantine and reported to hosts that take doubtful losses. A task with two of them runs alone, and a crash under it then ends it; five losses do in any case. They are taken back like others when a process answers again.

The count of upstreams for a common cause is bounded by that of a rack, as chance depends on the rate of crashes, not on the size of a pool. Upstreams that restart before the last lease of their rack has expired count as stopped with it. Reports that come again don't renew the time for which tasks are known to crash upstreams. A silent loss of a run without an answer counts again, so the bound of three in a_task_lost_with_three_silent_upstreams_may_have_run_and_is_not_started_ again holds for starts that were never answered, as before this incident.

Failed before: `jobs_that_crash_upstreams_in_step_are_contained_also_when_submitted_again` (15 upstreams under three tasks in the first submission), `a_rack_that_restarts_within_a_lease_blames_no_task`, `losses_that_are_taken_back_do_not_count_towards_the_total`, and the silent test with its starts unanswered (4 instead of 3). One bound follows: after two common crashes one of the two upstreams left is kept, so three tasks of 14 start at once instead of four.

--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -5,7 +5,6 @@
 
 use super::Pool;
 use crate::clock::Time;
-use crate::pool::job::Id;
 use crate::pool::quarantine::Blame;
 use crate::pool::run::Run;
 use crate::pool::upstream::Upstream;
@@ -18,22 +17,30 @@
 /// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
 /// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
 const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
-/// Least number of other upstreams that stop together with one if the cause is a common one. A job
-/// crashes the upstreams of its own tasks, and two such jobs may do so at the same time.
-const MIN_COMMON_STOPS: usize = 2;
-/// Number of upstreams for each other one that stops if the cause is a common one. The more
-/// upstreams there are, the more unrelated crashes come at the same time. In a smaller pool, all
-/// upstreams have to stop: a few may crash under unrelated jobs.
-const UPSTREAMS_PER_COMMON_STOP: usize = 10;
-/// Replaces [`MIN_COMMON_STOPS`] while tasks are known to crash upstreams. Such tasks are started
-/// again together once the leases have expired of upstreams that crashed together.
-const MIN_COMMON_STOPS_AMID_CRASHES: usize = 4;
-/// Replaces [`UPSTREAMS_PER_COMMON_STOP`] while tasks are known to crash upstreams.
-const UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES: usize = 4;
+/// Numbers of other upstreams that have to stop together with one if the cause is a common one, such
+/// as the power of a rack or the network.
+#[derive(Clone, Copy, Debug)]
+struct CommonStops {
+    /// Least number in a large pool, where unrelated jobs may crash some upstreams at once.
+    least: usize,
+    /// Greatest number, that of a rack.
+    most: usize,
+    /// Number of upstreams for each one of them.
+    upstreams_per_stop: usize,
+}
+
+/// Usual numbers: two jobs that crash their upstreams may do so at the same time.
+const COMMON_STOPS: CommonStops = CommonStops { least: 2, most: 6, upstreams_per_stop: 10 };
+/// Numbers while tasks are known to crash upstreams. Such tasks are started again in step once the
+/// leases of upstreams have expired that crashed together.
+const COMMON_STOPS_AMID_CRASHES: CommonStops =
+    CommonStops { least: 4, most: 12, upstreams_per_stop: 4 };
+/// Number of upstreams below which all of them have to stop: a few unrelated crashes are a large
+/// part of a small pool.
+const SMALL_POOL: usize = 10;
 
 impl Pool {
-    /// Returns the other upstreams that stopped responding at the same time as this one, and still
-    /// don't respond.
+    /// Returns the other upstreams whose processes stopped responding at the same time as this one.
     fn stopped_with(&self, key: UpstreamKey, cause: LossCause) -> impl Iterator<Item = &Upstream> {
         let stopped_at = self.upstreams.get(key).and_then(|upstream| upstream.stopped_at);
         let span = if cause.is_crash() { CRASH_NOTICE_SPAN } else { SILENCE_NOTICE_SPAN };
@@ -42,7 +49,7 @@
         };
         let others = self.upstreams.iter().filter(move |(other, _)| *other != key);
         let others = others.map(|(_, upstream)| upstream);
-        others.filter(move |upstream| upstream.unresponsive_since.is_some_and(is_close))
+        others.filter(move |upstream| upstream.stopped_at.is_some_and(is_close))
     }
 
     /// Returns how many other upstreams stopped responding at the same time as this one.
@@ -50,20 +57,15 @@
         self.stopped_with(key, cause).count()
     }
 
-    /// Returns how many other upstreams have to stop together with one for a common cause, such as
-    /// the power of a rack or the network.
+    /// Returns how many other upstreams have to stop together with one for a common cause.
     fn min_common_stops(&self, now: Time) -> usize {
-        let (least, upstreams_per_stop) = if self.quarantine.has_convicted(now) {
-            (MIN_COMMON_STOPS_AMID_CRASHES, UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES)
-        } else {
-            (MIN_COMMON_STOPS, UPSTREAMS_PER_COMMON_STOP)
-        };
+        let is_amid_crashes = self.quarantine.has_convicted(now);
+        let stops = if is_amid_crashes { COMMON_STOPS_AMID_CRASHES } else { COMMON_STOPS };
         let known = self.upstreams.len();
-        let others = known.saturating_sub(1).max(1);
-        if known < UPSTREAMS_PER_COMMON_STOP {
-            return others;
+        if known < SMALL_POOL {
+            return known.saturating_sub(1).max(1);
         }
-        known.div_ceil(upstreams_per_stop).max(least)
+        known.div_ceil(stops.upstreams_per_stop).clamp(stops.least, stops.most)
     }
 
     /// Records what a loss says about the tasks of the lost runs, and reports it to the other
@@ -75,18 +77,13 @@
         loss: &Loss,
         now: Time,
     ) {
-        for run in runs.iter().filter_map(|run| self.runs.get(*run)) {
-            if let Some(job) = run.job.and_then(|job| self.jobs.get_mut(job)) {
-                job.steps[run.task.step as usize][run.task.index as usize].losses += 1;
-            }
-        }
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.has_lost_runs = true;
         }
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
-        let blamed = |run: &Run| Some((run.task.clone(), self.blame(run, loss.cause, now)?));
-        let blamed: Vec<(Task, Blame)> = lost.filter_map(blamed).collect();
+        let blamed = |run: &Run| (run.task.clone(), self.blame(run, loss.cause, now));
+        let blamed: Vec<(Task, Blame)> = lost.map(blamed).collect();
         for blame in Blame::ALL {
             let of_blame = blamed.iter().filter(|(_, other)| *other == blame);
             let tasks: Vec<Task> = of_blame.map(|(task, _)| task.clone()).collect();
@@ -97,27 +94,32 @@
         }
     }
 
-    /// Returns what the loss of a run says about its task; `None` if nothing.
-    fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Option<Blame> {
-        let stops = self.unrelated_stops(run.upstream, cause, &run.task.job);
-        if stops >= self.min_common_stops(now) {
-            return None;
+    /// Returns what the loss of a run says about its task.
+    fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Blame {
+        let is_alone = self
+            .upstreams
+            .get(run.upstream)
+            .is_some_and(|upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty());
+        // A task that was lost in step with others before is judged by a crash under its run alone.
+        let is_test = cause.is_crash() && is_alone && self.quarantine.is_in_step(&run.task);
+        let stops = self.unrelated_stops(run, cause);
+        if !is_test && stops >= self.min_common_stops(now) {
+            return Blame::Common;
         }
         if !cause.is_crash() {
-            return run.seen_running.then_some(Blame::Unknown);
+            return Blame::Unknown;
         }
-        let is_alone =
-            |upstream: &Upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty();
-        let is_only_suspect = !self.quarantine.is_suspect(&run.task, now)
-            || self.upstreams.get(run.upstream).is_some_and(is_alone);
-        let is_proven = run.seen_running && stops == 0 && is_only_suspect;
-        Some(if is_proven { Blame::Crash } else { Blame::Doubtful })
+        let is_only_suspect = is_alone || !self.quarantine.is_suspect(&run.task, now);
+        let is_proven = run.seen_running && is_only_suspect && stops == 0;
+        if is_proven { Blame::Crash } else { Blame::Doubtful }
     }
 
-    /// Returns how many other upstreams stopped at the same time without a run of this job.
-    fn unrelated_stops(&self, key: UpstreamKey, cause: LossCause, job: &Id) -> usize {
-        let others = self.stopped_with(key, cause);
-        others.filter(|upstream| !upstream.stopped_jobs.contains(job)).count()
+    /// Returns how many other upstreams stopped at the same time without a task of the job of a lost
+    /// run.
+    fn unrelated_stops(&self, run: &Run, cause: LossCause) -> usize {
+        let others = self.stopped_with(run.upstream, cause);
+        let is_unrelated = |other: &&Upstream| !other.stopped_jobs.contains(&run.task.job);
+        others.filter(is_unrelated).count()
     }
 
     /// Takes back the loss of an upstream's process, which has answered again, here and at the other
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -40,8 +40,11 @@
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
             self.log_upstream_state(key, "process restarted", now);
-        } else if may_have_lost_runs {
-            self.take_back_loss(key, listing.started_ms, now);
+        } else {
+            upstream.stopped_at = None;
+            if may_have_lost_runs {
+                self.take_back_loss(key, listing.started_ms, now);
+            }
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -16,6 +16,12 @@
 /// Number of upstreams that may be lost under a task for any cause. A crash without a closed
 /// connection can't be told from a partition.
 const MAX_LOSSES: usize = 3;
+/// Number of common losses of a task after which it runs alone, and is not started again after a loss
+/// that it is blamed for. Tasks that crash their upstreams in step would go on doing so.
+const MAX_COMMON_LOSSES: usize = 2;
+/// Number of upstreams that may be lost under a task, whether or not it is blamed: the users let a
+/// task be started twice more after three upstreams have crashed under it.
+const MAX_TOTAL_LOSSES: usize = 5;
 /// Time for which the losses of a task are remembered. Callers send a job again after seconds, and
 /// not after their deadline.
 const RETENTION: Duration = Duration::from_secs(60);
@@ -30,7 +36,9 @@
 /// What the loss of an upstream says about a task that was ordered from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Blame {
-    /// Its run had begun, and nothing is known of the upstream.
+    /// None: the upstream stopped together with others.
+    Common,
+    /// Nothing is known of the upstream.
     Unknown,
     /// The upstream crashed, but the run may not have begun, another one ran beside this suspect, or
     /// another upstream crashed at the same time.
@@ -41,12 +49,13 @@
 
 impl Blame {
     /// All values, in declaration order.
-    pub const ALL: [Blame; 3] = [Blame::Unknown, Blame::Doubtful, Blame::Crash];
+    pub const ALL: [Blame; 4] = [Blame::Common, Blame::Unknown, Blame::Doubtful, Blame::Crash];
 
     /// Returns what a report of a loss says about its tasks.
     fn of_report(report: &Loss) -> Self {
         match (report.cause.is_crash(), report.is_doubtful) {
-            (false, _) => Blame::Unknown,
+            (false, true) => Blame::Common,
+            (false, false) => Blame::Unknown,
             (true, true) => Blame::Doubtful,
             (true, false) => Blame::Crash,
         }
@@ -55,10 +64,11 @@
     /// Returns the report of the loss of a process to other dispatchers.
     pub fn report(self, (upstream, started_ms): Process, tasks: Vec<Task>) -> Loss {
         let cause = match self {
-            Blame::Unknown => LossCause::Unresponsive,
+            Blame::Common | Blame::Unknown => LossCause::Unresponsive,
             Blame::Doubtful | Blame::Crash => LossCause::Refused,
         };
-        Loss { upstream, started_ms, cause, is_doubtful: self == Blame::Doubtful, tasks }
+        let is_doubtful = matches!(self, Blame::Common | Blame::Doubtful);
+        Loss { upstream, started_ms, cause, is_doubtful, tasks }
     }
 }
 
@@ -89,15 +99,24 @@
         self.losses.values().filter(|blame| **blame >= least).count()
     }
 
+    fn is_in_step(&self) -> bool {
+        self.losses.len() - self.count(Blame::Unknown) >= MAX_COMMON_LOSSES
+    }
+
     fn verdict(&self, now: Time) -> Verdict {
-        let crashes = self.count(Blame::Doubtful);
+        let (crashes, blamed) = (self.count(Blame::Doubtful), self.count(Blame::Unknown));
+        let is_in_step = self.is_in_step();
         if now.since(self.last_loss) > RETENTION {
             Verdict::Clear
         } else if self.count(Blame::Crash) >= MAX_CRASHES {
             Verdict::Crashing
-        } else if crashes >= MAX_CRASHES || self.losses.len() >= MAX_LOSSES {
+        } else if crashes >= MAX_CRASHES
+            || blamed >= MAX_LOSSES
+            || (is_in_step && blamed > 0)
+            || self.losses.len() >= MAX_TOTAL_LOSSES
+        {
             Verdict::Lost
-        } else if crashes > 0 {
+        } else if crashes > 0 || is_in_step {
             Verdict::Suspect
         } else {
             Verdict::Clear
@@ -128,7 +147,10 @@
             if before.is_none() {
                 entry.last_loss = now;
             }
-            if entry.count(Blame::Doubtful) >= MAX_CRASHES {
+            // Reports of one loss may come again and again.
+            if before.is_none_or(|before| before < blame)
+                && entry.count(Blame::Doubtful) >= MAX_CRASHES
+            {
                 self.last_conviction = Some(now);
             }
         }
@@ -203,6 +225,11 @@
             .max_by_key(|(_, verdict)| *verdict)
     }
 
+    /// Returns whether a task has so many common losses that it runs alone.
+    pub fn is_in_step(&self, task: &Task) -> bool {
+        self.entries.get(task).is_some_and(Entry::is_in_step)
+    }
+
     /// Returns whether an upstream crashed under a task, as far as known.
     pub fn is_suspect(&self, task: &Task, now: Time) -> bool {
         self.entries.get(task).is_some_and(|entry| entry.verdict(now) >= Verdict::Suspect)
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -117,7 +117,7 @@
     pub failed_polls: u32,
     /// When an order or a poll first failed since the last answer, if one has.
     pub unresponsive_since: Option<Time>,
-    /// When it last stopped responding.
+    /// When its process stopped responding, unless the same process has been polled since.
     pub stopped_at: Option<Time>,
     /// Jobs that had runs here then.
     pub stopped_jobs: BTreeSet<Id>,
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -406,7 +406,9 @@
     pub fn report_losses(losses: &[Loss], takes_doubtful_losses: bool) -> Vec<Frame> {
         let is_separate = |loss: &&Loss| loss.is_doubtful && takes_doubtful_losses;
         let (doubtful, plain): (Vec<&Loss>, Vec<&Loss>) = losses.iter().partition(is_separate);
-        let plain = plain.into_iter().map(|loss| {
+        // A doubtful loss without a crash blames nobody.
+        let plain = plain.into_iter().filter(|loss| !loss.is_doubtful || loss.cause.is_crash());
+        let plain = plain.map(|loss| {
             let cause = if loss.is_doubtful { LossCause::Unresponsive } else { loss.cause };
             LossWire { cause: cause.into(), ..LossWire::from(loss) }
         });
