Take no loss back for an answer from before it

An answer to a poll that was sent before the upstream crashed, and arrived after its runs were lost, took the loss back. Only a poll that was sent since proves that the process runs on.

Failed before: `an_answer_from_before_a_crash_takes_nothing_back`.

--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -78,7 +78,7 @@
         now: Time,
     ) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.has_lost_runs = true;
+            upstream.lost_runs_at = Some(now);
         }
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -33,8 +33,11 @@
             self.log_upstream_state(key, "responds again", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        let may_have_lost_runs = upstream.has_lost_runs || upstream.clock.is_none();
-        upstream.has_lost_runs = false;
+        let may_have_lost_runs = match upstream.lost_runs_at.take() {
+            // An answer from before the loss proves nothing.
+            Some(at) => at <= sent,
+            None => upstream.clock.is_none(),
+        };
         upstream.record_clock(listing.clock_ms, now);
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -373,6 +373,19 @@
     assert_eq!(play_deadly(&mut pool, 110), (2, vec![Outcome::Failed]));
 }
 
+#[test]
+fn an_answer_from_before_a_crash_takes_nothing_back() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+    let started = starts(&pool.take_effects());
+    begin(&mut pool, &started, 101);
+    lose(&mut pool, &started, PollFailure::Refused, 110);
+
+    pool.on_poll_answer(started[0].0, &listing(vec![], vec![]), at(105), at(840));
+
+    assert_eq!(pool.quarantined_tasks(at(850)), 1);
+}
+
 #[test]
 fn losses_that_are_taken_back_do_not_count_towards_the_total() {
     let mut pool = pool(&["u1", "u2", "u3", "u4"]);
