Poll idle upstreams after one with runs has stopped

When a rack with few runs lost power, only those with runs were known to have stopped, so the crash looked like a single one and failed the job that met two of them. Up to 16 idle upstreams are polled when one with runs stops, at most twice a second.

Failed before: `a_common_crash_of_mostly_idle_upstreams_fails_no_job`.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -44,6 +44,8 @@
     /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
     /// order.
     loss_counts: [u64; LossCause::ALL.len()],
+    /// Until this instant, no further upstreams are polled because one has stopped.
+    neighbours_polled_until: Time,
     /// Until this instant, polls use [`Options::short_poll_wait`].
     short_polls_until: Time,
     /// Upstreams that a live dispatcher has handed over before they were assigned to this one, with
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -39,7 +39,32 @@
 /// part of a small pool.
 const SMALL_POOL: usize = 10;
 
+/// Interval between polls of the idle upstreams after one has stopped. They are polled rarely
+/// otherwise, and would hide that many stopped at once.
+const NEIGHBOUR_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of idle upstreams that are polled after one has stopped.
+const MAX_NEIGHBOUR_POLLS: usize = 16;
+
 impl Pool {
+    /// Polls idle upstreams after one with runs has stopped, so that it is known whether they have
+    /// stopped together with it.
+    pub(super) fn poll_idle_neighbours(&mut self, key: UpstreamKey, now: Time) {
+        let is_first = |upstream: &Upstream| {
+            upstream.unresponsive_since.is_none() && !upstream.runs.is_empty()
+        };
+        if now < self.neighbours_polled_until || !self.upstreams.get(key).is_some_and(is_first) {
+            return;
+        }
+        self.neighbours_polled_until = now + NEIGHBOUR_POLL_INTERVAL;
+        let idle = self.upstreams.iter().filter(|(other, upstream)| {
+            *other != key && upstream.is_usable(now) && upstream.runs.is_empty()
+        });
+        let idle: Vec<UpstreamKey> = idle.map(|(key, _)| key).take(MAX_NEIGHBOUR_POLLS).collect();
+        for key in idle {
+            self.poll_soon(key, now);
+        }
+    }
+
     /// Returns the other upstreams whose processes stopped responding at the same time as this one.
     fn stopped_with(&self, key: UpstreamKey, cause: LossCause) -> impl Iterator<Item = &Upstream> {
         let stopped_at = self.upstreams.get(key).and_then(|upstream| upstream.stopped_at);
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -197,6 +197,7 @@
     /// polls of all upstreams for a while.
     pub(super) fn mark_unresponsive(&mut self, key: UpstreamKey, now: Time) {
         self.short_polls_until = now + self.options.short_poll_span;
+        self.poll_idle_neighbours(key, now);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         if upstream.unresponsive_since.is_none() {
             upstream.unresponsive_since = Some(now);
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -1,7 +1,8 @@
 //! Which tasks count as the cause when upstreams are lost under them.
 
 use super::{
-    OWNED, SIXTEEN, Started, at, listing, outcome, patient_job, pool, record, reports, starts,
+    OWNED, SIXTEEN, Started, at, listing, outcome, patient_job, polls, pool, record, reports,
+    starts,
 };
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
@@ -342,6 +343,31 @@
     assert!(crashed <= 9, "{crashed} upstreams crashed under three tasks");
 }
 
+/// Idle upstreams are polled every few seconds only.
+#[test]
+fn a_common_crash_of_mostly_idle_upstreams_fails_no_job() {
+    let mut pool = pool(&SIXTEEN);
+    pool.submit(patient_job("j"), at(100));
+    let mut effects = pool.take_effects();
+
+    for round in 0..2 {
+        let ms = 110 + round * ROUND_MS;
+        let started = starts(&effects);
+        assert_eq!(started.len(), 1, "round {round}");
+        begin(&mut pool, &started, ms - 1);
+        pool.take_effects();
+        pool.on_poll_failed(started[0].0, PollFailure::Refused, at(ms));
+        // The idle upstreams that are polled next have crashed as well.
+        let idle = polls(&pool.take_effects()).into_iter().filter(|key| *key != started[0].0);
+        let idle: Vec<UpstreamKey> = idle.take(10).collect();
+        idle.iter().for_each(|key| pool.on_poll_failed(*key, PollFailure::Refused, at(ms + 2)));
+        pool.tick(at(ms + 720));
+        effects = pool.take_effects();
+    }
+
+    assert_eq!(outcomes(&effects), []);
+}
+
 #[test]
 fn suspects_that_share_an_upstream_are_not_failed_after_single_crashes() {
     let mut pool = pool(&["u1", "u2", "u3", "u4"]);
