Don't blame a wide job for upstreams that stop while its other tasks go on

Upstreams with a task of the same job didn't count as a common cause, so that a job which crashes the upstreams of all its tasks is contained. A job of ten tasks with one on each upstream of a rack was then blamed for the rack, and failed after two. They count now if a task of the job is done, or goes on elsewhere.

Failed before: `a_wide_job_whose_other_tasks_go_on_is_not_failed_for_two_common_crashes`.

--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -139,11 +139,24 @@
         if is_proven { Blame::Crash } else { Blame::Doubtful }
     }
 
-    /// Returns how many other upstreams stopped at the same time without a task of the job of a lost
-    /// run.
+    /// Returns how many other upstreams stopped at the same time and are not explained by the job of
+    /// a lost run. The job may have crashed those where its tasks ran, unless some of its tasks are
+    /// done, or go on elsewhere.
     fn unrelated_stops(&self, run: &Run, cause: LossCause) -> usize {
+        let responds = |key: UpstreamKey| {
+            self.upstreams.get(key).is_some_and(|upstream| upstream.unresponsive_since.is_none())
+        };
+        let goes_on = |run: &RunKey| {
+            self.runs.get(*run).is_some_and(|run| run.seen_running && responds(run.upstream))
+        };
+        let job = run.job.and_then(|job| self.jobs.get(job));
+        let is_harmless = job.is_some_and(|job| {
+            let mut tasks = job.steps.iter().flatten();
+            tasks.any(|task| task.done || task.run.as_ref().is_some_and(goes_on))
+        });
         let others = self.stopped_with(run.upstream, cause);
-        let is_unrelated = |other: &&Upstream| !other.stopped_jobs.contains(&run.task.job);
+        let is_unrelated =
+            |other: &&Upstream| is_harmless || !other.stopped_jobs.contains(&run.task.job);
         others.filter(is_unrelated).count()
     }
 
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -6,7 +6,9 @@
 };
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
-use heathertrack::pool::{Effect, Listing, PollFailure, Pool, StartAnswer, UpstreamKey};
+use heathertrack::pool::{
+    Effect, Listing, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
+};
 use std::collections::BTreeSet;
 
 /// Time between two losses of a test, in milliseconds: a lease, and time to start again.
@@ -343,6 +345,57 @@
     assert!(crashed <= 9, "{crashed} upstreams crashed under three tasks");
 }
 
+#[test]
+fn a_wide_job_whose_other_tasks_go_on_is_not_failed_for_two_common_crashes() {
+    let mut pool = pool(&SIXTEEN);
+    let mut request = large_job("wide", 10);
+    request.steps[0].needs.cpu = 9_000;
+    pool.submit(request, at(100));
+
+    let (mut running, mut ended) = (Vec::new(), Vec::new());
+    for round in 0..2 {
+        let ms = 110 + round * ROUND_MS;
+        let effects = pool.take_effects();
+        ended.extend(outcomes(&effects));
+        let mut started = starts(&effects);
+        begin(&mut pool, &started, ms - 1);
+        // A rack of four upstreams crashes, first with tasks of the first start, then of the second.
+        started.truncate(4);
+        lose_beside(&mut pool, &mut running, &effects, &started, ms);
+    }
+    ended.extend(outcomes(&pool.take_effects()));
+
+    assert!(!ended.contains(&Outcome::Failed), "{ended:?}");
+}
+
+/// Loses the upstreams of `lost` at one instant, while the other runs that were started go on.
+fn lose_beside(
+    pool: &mut Pool,
+    running: &mut Vec<Started>,
+    effects: &[Effect],
+    lost: &[Started],
+    ms: u64,
+) {
+    let crashed = upstreams_of(lost);
+    running.extend(starts(effects));
+    running.retain(|start| !crashed.contains(&start.0));
+    for upstream in &crashed {
+        pool.on_poll_failed(*upstream, PollFailure::Refused, at(ms));
+    }
+    for upstream in upstreams_of(running) {
+        let there = running.iter().filter(|start| start.0 == upstream);
+        let row = |start: &Started| RunningRun {
+            task: start.2.clone(),
+            number: start.3,
+            percent: ms as u32 / 100,
+        };
+        let rows = there.map(row).collect();
+        pool.on_poll_answer(upstream, &listing(rows, vec![]), at(ms + 500), at(ms + 500));
+    }
+    pool.tick(at(ms + 720));
+    restart(pool, lost, ms + 730);
+}
+
 /// Idle upstreams are polled every few seconds only.
 #[test]
 fn a_common_crash_of_mostly_idle_upstreams_fails_no_job() {
