--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -41,15 +41,21 @@
             self.log_upstream_state(key, "responds again", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        let may_have_lost_runs = upstream.has_lost_runs || upstream.clock.is_none();
-        upstream.has_lost_runs = false;
+        let may_have_lost_runs = match upstream.lost_runs_at.take() {
+            // An answer from before the loss proves nothing.
+            Some(at) => at <= sent,
+            None => upstream.clock.is_none(),
+        };
         upstream.record_clock(listing.clock_ms, now);
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
             self.log_upstream_state(key, "process restarted", now);
-        } else if may_have_lost_runs {
-            self.take_back_loss(key, listing.started_ms, now);
+        } else {
+            upstream.stopped_at = None;
+            if may_have_lost_runs {
+                self.take_back_loss(key, listing.started_ms, now);
+            }
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
@@ -276,6 +282,7 @@
     /// polls of all upstreams for a while.
     pub(super) fn mark_unresponsive(&mut self, key: UpstreamKey, now: Time) {
         self.short_polls_until = now + self.options.short_poll_span;
+        self.poll_idle_neighbours(key, now);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         if upstream.unresponsive_since.is_none() {
             upstream.unresponsive_since = Some(now);
