--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -12,6 +12,7 @@
 use super::job::{Id, Job, Outcome, Request};
 use super::order::Rank;
 use super::quarantine::{Quarantine, Verdict};
+use super::roster::Rosters;
 use super::run::{Run, RunState};
 use super::upstream::Upstream;
 use super::{
@@ -48,9 +49,15 @@
     neighbours_polled_until: Time,
     /// Until this instant, polls use [`Options::short_poll_wait`].
     short_polls_until: Time,
-    /// Upstreams that a live dispatcher has handed over before they were assigned to this one, with
-    /// the time of the message.
+    /// Upstreams that a live dispatcher of an earlier release has handed over before they were
+    /// assigned to this one, with the time of the message.
     handovers: BTreeMap<name::Upstream, Time>,
+    /// Runs that other live hosts follow.
+    rosters: Rosters,
+    /// Whether the rosters that other hosts have from this one hold runs that have to expire.
+    has_stale_rosters: bool,
+    /// Until this instant, a host that was lost may have left runs that no list has shown yet.
+    doubt_until: Time,
     /// Whether a competing dispatcher may use the same upstreams.
     has_competitors: bool,
     /// Sequence number of the last submitted job.
@@ -71,9 +78,15 @@
     }
 
     /// Returns whether no job is in progress and no run is left to follow to its end. A run whose
-    /// job has ended doesn't count if a competing dispatcher may keep it alive.
+    /// job has ended doesn't count if another dispatcher may keep it alive on an upstream that doesn't
+    /// respond.
     pub fn is_idle(&self) -> bool {
-        let is_ignored = |run: &Run| run.competitor_may_renew && run.job.is_none();
+        let is_silent = |upstream: &Upstream| upstream.unresponsive_since.is_some();
+        let is_ignored = |run: &Run| {
+            run.competitor_may_renew
+                && run.job.is_none()
+                && self.upstreams.get(run.upstream).is_none_or(is_silent)
+        };
         self.jobs.is_empty() && self.runs.values().all(is_ignored)
     }
 
@@ -86,7 +99,7 @@
         if let Some(earlier) = self.jobs_by_id.get(&request.id).copied() {
             self.finish(earlier, Outcome::MayHaveRun("submitted again"), now);
         }
-        let has_leftover_runs = self.runs.values().any(|run| run.task.job == request.id);
+        let has_leftover_runs = self.has_runs_of(&request.id);
         self.last_sequence += 1;
         let id = request.id.clone();
         let job = Job::new(request, self.last_sequence);
@@ -106,6 +119,14 @@
         key
     }
 
+    /// Returns whether a run of the job is left: one that this dispatcher started, or one that its
+    /// upstreams have listed.
+    fn has_runs_of(&self, job: &Id) -> bool {
+        let foreign =
+            |upstream: &Upstream| upstream.foreign.runs.iter().any(|(task, _)| task.job == *job);
+        self.runs.values().any(|run| run.task.job == *job) || self.upstreams.values().any(foreign)
+    }
+
     /// Ends a job whose caller has disconnected or cancelled it.
     pub fn cancel(&mut self, job: JobKey, now: Time) {
         self.finish(job, Outcome::MayHaveRun("cancelled"), now);
@@ -238,8 +259,18 @@
     pub fn load(&self, now: Time) -> Load {
         let mut load = Load::default();
         let mean_cpu = self.mean_cpu();
-        for upstream in self.upstreams.values().filter(|upstream| upstream.is_usable(now)) {
+        for upstream in self.upstreams.values() {
             let weighted_millicore = upstream.speed.factor() / 1_000.0;
+            // Nothing can be started on a contested upstream until it is free again, but then it is
+            // free as a whole.
+            if self.is_contested(upstream, now) {
+                let cores = f64::from(upstream.capacity.cpu) * weighted_millicore;
+                load.cores += cores;
+                load.busy_cores += cores;
+            }
+            if !upstream.is_usable(now) {
+                continue;
+            }
             load.cores += f64::from(upstream.capacity.cpu) * weighted_millicore;
             load.busy_cores += f64::from(upstream.used.cpu) * weighted_millicore;
             if upstream.accepts_starts(now) {
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -30,6 +30,7 @@
         clock_ms: Option<u64>,
         now: Time,
     ) {
+        let shared_until = now + self.max_sharing_time();
         let Some(run) = self.runs.get_mut(key) else { return };
         let upstream_key = run.upstream;
         if let (Some(clock_ms), Some(upstream)) = (clock_ms, self.upstreams.get_mut(upstream_key)) {
@@ -38,6 +39,7 @@
         match answer {
             StartAnswer::Running => {
                 run.seen_running = true;
+                run.shared_until = run.shared_until.min(shared_until);
                 // While the run is being stopped, its absence from a list proves nothing before the
                 // stop is answered.
                 if run.state == RunState::Starting {
@@ -110,6 +112,8 @@
             return;
         }
         run.unanswered_stops += 1;
+        // The owner of a released upstream has to end its renewals, as this dispatcher does.
+        self.has_stale_rosters |= run.unanswered_stops == MAX_UNANSWERED_STOPS;
         let (task, number) = (run.task.clone(), run.number);
         self.mark_unresponsive(upstream_key, now);
         self.effects.push(Effect::Stop { upstream: upstream_key, run: key, task, number });
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -60,7 +60,7 @@
     fn end_expired_runs(&mut self, now: Time) {
         let is_expired = |(_, run): &(RunKey, &Run)| {
             let Some(upstream) = self.upstreams.get(run.upstream) else { return true };
-            now > upstream.lease_expiry
+            now > upstream.lease_expiry.max(run.shared_until)
                 && (!run.competitor_may_renew || upstream.missing_since.is_some())
         };
         let mut expired: BTreeMap<UpstreamKey, Vec<RunKey>> = BTreeMap::new();
@@ -160,6 +160,7 @@
         }
         self.give_up_all("this host was suspended", now);
         self.handovers.clear();
+        self.rosters.clear();
         for upstream in self.upstreams.values_mut() {
             upstream.clock = None;
             upstream.poll_due = now;
@@ -168,7 +169,12 @@
                 other => other,
             };
             upstream.foreign.listed_since = None;
-            upstream.foreign.handed_over = false;
+            upstream.foreign.inherited.clear();
+            upstream.foreign.inherits_until = Time::ZERO;
+        }
+        let upstreams: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        for upstream in upstreams {
+            self.find_strays(upstream);
         }
     }
 }
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -189,7 +189,7 @@
         let upstreams_each = 16;
         let site = Site { upstreams_each, ..plan.site.clone() };
         let crash = |upstream: usize| {
-            let is_first = upstream % 3 == 0;
+            let is_first = upstream.is_multiple_of(3);
             let at = Duration::from_millis(if is_first { 2_000 } else { 2_760 });
             Fault { at, kind: FaultKind::Crash { upstream, down: Duration::from_secs(2) } }
         };
