Cancel a job at any host, and call it absent only on proof

What callers saw: a DELETE at a host that didn't hold the job was answered 410 "no such job", and the job ran on and started further tasks; also at the host where the job's POST was open, if it had handed the job on.

Cause: `EntryHost::cancel` looked into the pool of its own host only, and took the absence there for the absence of the job.

Change (docs/design/cancel.md): the host cancels the job itself, asks all its peers at once (`Frame::CancelJob`), and answers 200 as soon as one held it, 410 once all that may hold a job have answered that they don't, and 503 with Retry-After otherwise. Each host that was asked remembers the identifier for 60 s, 16,384 at most, so a submission that is on its way, overtaken or sent again starts nothing; hosts tell each other on new links. The caller of the job gets 200 `cancelled` once its runs have ended, as a 504 makes it send the job again. A host of the release before can't be asked, so what isn't found elsewhere is answered 503 beside it.

The tests of platform/stand_in/tests/cancel.rs on the code before: seven of eight failed, for example "job_is_cancelled_at_any_host: left: Some(410) right: Some(200)" and "submission_that_arrives_after_the_cancelling_ starts_nothing: left: completed, right: cancelled". Now all eight pass.

A trial with one host of the release before beside two of this one: jobs pass between them (the 14 tests of path.rs pass), and cancelling at a new host is answered 503 where only the old one can hold the job.

Not covered: the model has no cancelling.

--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod admission;
+mod cancellations;
 mod durations;
 mod effect;
 mod health;
@@ -28,6 +29,7 @@
 mod quarantine;
 pub mod routing;
 mod run;
+pub mod search;
 mod speed;
 mod task;
 pub mod upstream;
--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -138,6 +138,8 @@
     },
     /// Some tasks may have run, but it is unknown whether all are done. Holds the reason.
     MayHaveRun(&'static str),
+    /// Its caller has cancelled it. Some tasks may have run, and none will be started.
+    Cancelled,
 }
 
 /// Factor by which declared durations are allowed to be too short. With errors of 40%, one job in
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -7,12 +7,14 @@
 mod sweep;
 mod upstreams;
 
+use super::cancellations::Cancellations;
 use super::durations::Durations;
 use super::job::{Id, Job, Outcome, Request};
 use super::order::Rank;
 use super::quarantine::{Quarantine, Verdict};
 use super::run::{Run, RunState};
-use super::upstream::Upstream;
+use super::search::Holding;
+use super::upstream::{Ownership, Upstream};
 use super::{
     Decision, Effect, JobKey, Load, LossCause, Options, RunEnd, RunKey, Task, UpstreamKey,
     admission,
@@ -38,6 +40,9 @@
     /// Number of ended runs for each variant of [`RunEnd`], in declaration order.
     end_counts: [u64; 5],
     quarantine: Quarantine,
+    cancellations: Cancellations,
+    /// Cancelled jobs whose outcome is reported once their runs have ended.
+    ending: Vec<EndingJob>,
     /// Suspect tasks of jobs in progress, which are started apart from the others.
     suspects: BTreeSet<Task>,
     /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
@@ -56,6 +61,14 @@
     effects: Vec<Effect>,
 }
 
+/// A cancelled job with runs that are being stopped.
+#[derive(Debug)]
+struct EndingJob {
+    key: JobKey,
+    id: Id,
+    in_time: bool,
+}
+
 impl Pool {
     /// Creates a dispatcher without upstreams.
     pub fn new(options: Options) -> Self {
@@ -64,9 +77,27 @@
 
     /// Removes and returns the pending effects, which the owner of the pool has to carry out.
     pub fn take_effects(&mut self) -> Vec<Effect> {
+        self.report_ended_jobs();
         std::mem::take(&mut self.effects)
     }
 
+    /// Reports the outcome of cancelled jobs whose runs have ended.
+    fn report_ended_jobs(&mut self) {
+        for job in std::mem::take(&mut self.ending) {
+            if self.runs.values().any(|run| run.task.job == job.id) {
+                self.ending.push(job);
+                continue;
+            }
+            let EndingJob { key, id, in_time } = job;
+            self.effects.push(Effect::Finish {
+                job: key,
+                id,
+                outcome: Outcome::Cancelled,
+                in_time,
+            });
+        }
+    }
+
     /// Returns whether no job is in progress and no run is left to follow to its end. A run whose
     /// job has ended doesn't count if a competing dispatcher may keep it alive.
     pub fn is_idle(&self) -> bool {
@@ -78,7 +109,8 @@
     ///
     /// An earlier submission with the same identifier is ended: its caller is gone, or it would not
     /// have sent the job again. While runs of the earlier submission are left, the new one is given
-    /// up as well, so that no task runs twice at the same time; its caller may send it again.
+    /// up as well, so that no task runs twice at the same time; its caller may send it again. A job
+    /// that was cancelled a short time ago stays cancelled.
     pub fn submit(&mut self, request: Request, now: Time) -> JobKey {
         if let Some(earlier) = self.jobs_by_id.get(&request.id).copied() {
             self.finish(earlier, Outcome::MayHaveRun("submitted again"), now);
@@ -95,6 +127,9 @@
         let key = self.jobs.insert(job);
         self.jobs_by_id.insert(id, key);
         match refusal {
+            _ if self.is_cancelled(&self.jobs[key].request.id, now) => {
+                self.finish(key, Outcome::Cancelled, now);
+            }
             _ if has_leftover_runs => self.give_up(key, "an earlier submission still runs", now),
             _ if self.check_losses(key, now) => {}
             Some((why, expected)) => self.refuse(key, why, expected, now),
@@ -103,17 +138,69 @@
         key
     }
 
-    /// Ends a job whose caller has disconnected or cancelled it.
+    /// Ends a job whose caller has disconnected.
     pub fn cancel(&mut self, job: JobKey, now: Time) {
-        self.finish(job, Outcome::MayHaveRun("cancelled"), now);
+        self.finish(job, Outcome::MayHaveRun("its caller has disconnected"), now);
         self.place(now);
     }
 
-    /// Cancels the job with this identifier. Returns whether there was one.
-    pub fn cancel_by_id(&mut self, id: &Id, now: Time) -> bool {
-        let Some(job) = self.jobs_by_id.get(id).copied() else { return false };
-        self.cancel(job, now);
-        true
+    /// Cancels the job with this identifier, if there is one, and remembers that it was cancelled,
+    /// so that it isn't started if it is submitted later. Returns what was known of it.
+    pub fn cancel_by_id(&mut self, id: &Id, now: Time) -> Holding {
+        let is_remembered = self.cancellations.record(id, Duration::MAX, now);
+        let has_runs = self.runs.values().any(|run| run.task.job == *id);
+        if let Some(job) = self.jobs_by_id.get(id).copied() {
+            self.finish(job, Outcome::Cancelled, now);
+            self.place(now);
+        } else if !has_runs {
+            let is_foreign = self.lists_foreign_runs(id, now);
+            return if is_foreign || !is_remembered { Holding::Unknown } else { Holding::Absent };
+        }
+        if is_remembered { Holding::Held } else { Holding::Unknown }
+    }
+
+    /// Returns whether an upstream of this dispatcher lists runs of a job that another dispatcher
+    /// started. Such upstreams are polled soon, as their lists may be seconds old.
+    fn lists_foreign_runs(&mut self, id: &Id, now: Time) -> bool {
+        // The lists of upstreams that this dispatcher has released are never renewed.
+        let lists_it = |(_, upstream): &(UpstreamKey, &Upstream)| {
+            upstream.ownership != Ownership::Released
+                && upstream.foreign.runs.iter().any(|(task, _)| task.job == *id)
+        };
+        let listing: Vec<UpstreamKey> =
+            self.upstreams.iter().filter(lists_it).map(|(key, _)| key).collect();
+        for key in &listing {
+            self.poll_soon(*key, now);
+        }
+        !listing.is_empty()
+    }
+
+    /// Returns whether a job was cancelled a short time ago.
+    pub fn is_cancelled(&self, id: &Id, now: Time) -> bool {
+        self.cancellations.contains(id, now)
+    }
+
+    /// Returns the jobs that were cancelled a short time ago, each with the time for which that is
+    /// still remembered.
+    pub fn remembered_cancellations(&self, now: Time) -> Vec<(Id, Duration)> {
+        let remembered = self.cancellations.iter(now);
+        remembered.map(|(id, remaining)| (id.clone(), remaining)).collect()
+    }
+
+    /// Cancels a job that was cancelled at another host. `remaining` is the time for which that host
+    /// still remembers it.
+    pub fn on_cancellation(&mut self, id: &Id, remaining: Duration, now: Time) {
+        // Without room to remember it, the job is still ended if it is here.
+        self.cancellations.record(id, remaining, now);
+        if let Some(job) = self.jobs_by_id.get(id).copied() {
+            self.finish(job, Outcome::Cancelled, now);
+            self.place(now);
+        }
+    }
+
+    /// Returns whether a job is in progress.
+    pub fn has_jobs(&self) -> bool {
+        !self.jobs.is_empty()
     }
 
     /// Returns why a job has to be refused on submission, if so, and its expected wait from now.
@@ -192,7 +279,8 @@
         true
     }
 
-    /// Removes a job, stops its runs and reports its outcome.
+    /// Removes a job, stops its runs and reports its outcome. That of a cancelled job is reported once
+    /// its runs have ended.
     fn finish(&mut self, key: JobKey, outcome: Outcome, now: Time) {
         let Some(job) = self.jobs.remove(key) else { return };
         if self.jobs_by_id.get(&job.request.id) == Some(&key) {
@@ -210,7 +298,11 @@
         }
         let in_time = now <= job.due();
         let id = job.request.id.clone();
-        self.effects.push(Effect::Finish { job: key, id, outcome, in_time });
+        if outcome == Outcome::Cancelled {
+            self.ending.push(EndingJob { key, id, in_time });
+        } else {
+            self.effects.push(Effect::Finish { job: key, id, outcome, in_time });
+        }
     }
 
     /// Updates the speeds of upstreams from the runs of a single-step job, whose tasks are similar
--- a/crates/heathertrackd/src/entry.rs
+++ b/crates/heathertrackd/src/entry.rs
@@ -6,6 +6,7 @@
 
 mod boot_clock;
 mod callers;
+mod cancel;
 mod deferred_lines;
 mod dispatch;
 mod event_log;
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -1,5 +1,6 @@
 //! HTTP server for callers' requests.
 
+use super::cancel::Cancelling;
 use super::event_log::ms;
 use super::metrics;
 use super::node::{EntryHost, Environment};
@@ -7,6 +8,7 @@
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
 use heathertrack::pool::job::{Id, Outcome, Request, critical_path};
+use heathertrack::pool::search::Verdict;
 use heathertrack::routes::{Limits, Route, RouteTable};
 use heathertrack_platform::{CallerProtocol, JobRequest, Submission};
 use http_body_util::{BodyExt, Limited};
@@ -31,6 +33,9 @@
 /// Retry-after time of a job that would outlast this host. The balancer sends the next attempt of
 /// the caller to another host.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry-after time of a cancelling that some hosts did not answer: within it their links are back
+/// or their records are gone.
+const CANCEL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time that a request waits for the first configuration. A host listens before it has read the
 /// store, which takes a few milliseconds if the store answers.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(100);
@@ -131,7 +136,7 @@
             // The answer to a submission carries the outcome of the job, so there is no later state
             // to query.
             Ok(JobRequest::Query(_)) => self.refuse(head, StatusCode::GONE, "no such job", version),
-            Ok(JobRequest::Cancel(id)) => self.cancel(head, &id, version),
+            Ok(JobRequest::Cancel(id)) => self.cancel(head, &id, version, received).await,
             Ok(JobRequest::CountQueued) => {
                 self.environment.caller_protocol().queue_response(self.queued_jobs(&route.service))
             }
@@ -175,13 +180,42 @@
         state.pool.queued_jobs(service) + on_peers as usize
     }
 
-    /// Cancels a job that is in the pool of this host.
-    fn cancel(self: &Rc<Self>, head: &Parts, id: &Id, version: u64) -> Response<String> {
-        let cancelled = self.with_pool(|pool, now| pool.cancel_by_id(id, now));
-        if cancelled {
-            return self.environment.caller_protocol().error_response(StatusCode::OK, "cancelled");
+    /// Cancels a job, wherever it is.
+    async fn cancel(
+        self: &Rc<Self>,
+        head: &Parts,
+        id: &Id,
+        version: u64,
+        received: Time,
+    ) -> Response<String> {
+        let protocol = self.environment.caller_protocol();
+        let caller_timeout = protocol.caller_timeout(head).unwrap_or(DEFAULT_CALLER_TIMEOUT);
+        let result = self.cancel_job(id, caller_timeout).await;
+        let (answer, undecided): (_, &[Host]) = match &result {
+            Cancelling::Decided(Verdict::Cancelled) => ("cancelled", &[]),
+            Cancelling::Decided(Verdict::Absent) => ("no such job", &[]),
+            Cancelling::Undecided(hosts) => {
+                ("some hosts that may run the job did not answer", hosts)
+            }
+            Cancelling::Refused(why) => (*why, &[]),
+        };
+        let age = self.now().since(received);
+        self.event_log.cancel_answered(id, answer, undecided, age, version);
+        match result {
+            Cancelling::Decided(Verdict::Cancelled) => {
+                protocol.outcome_response(&Outcome::Cancelled)
+            }
+            Cancelling::Decided(Verdict::Absent) => {
+                self.refuse(head, StatusCode::GONE, answer, version)
+            }
+            Cancelling::Undecided(_) | Cancelling::Refused(_) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let mut response = self.refuse(head, status, answer, version);
+                let retry_after = CANCEL_RETRY_AFTER.as_secs().into();
+                response.headers_mut().insert(hyper::header::RETRY_AFTER, retry_after);
+                response
+            }
         }
-        self.refuse(head, StatusCode::GONE, "no such job", version)
     }
 
     /// Reads and checks a submission, runs its job, and returns the answer.
@@ -260,6 +294,7 @@
             Outcome::Failed => "job_failed",
             Outcome::NotRun { .. } => "job_not_run",
             Outcome::MayHaveRun(_) => "job_unfinished",
+            Outcome::Cancelled => "job_cancelled",
         };
         metrics::job_answered(&class, self.record.data_centre.as_str(), event, age);
         // The deferred lines of a job that completed in time are discarded.
@@ -287,7 +322,7 @@
 fn reason(outcome: &Outcome) -> Option<&'static str> {
     match outcome {
         Outcome::NotRun { why, .. } | Outcome::MayHaveRun(why) => Some(why),
-        Outcome::Completed | Outcome::Failed => None,
+        Outcome::Completed | Outcome::Failed | Outcome::Cancelled => None,
     }
 }
 
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! Execution of the effects that the dispatcher's state machine requests.
 
 use super::boot_clock::Clock;
-use super::frame::{Frame, LossWire};
+use super::frame::{Frame, LossWire, OutcomeWire};
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use super::state::{Peer, Reply};
@@ -184,7 +184,10 @@
             Some(Reply::Peer(host, call)) => {
                 if let Some(peer) = state.peers.get_mut(&host) {
                     peer.jobs.remove(&call);
-                    let how = (&outcome).into();
+                    let mut how = OutcomeWire::from(&outcome);
+                    if !peer.takes_cancellations {
+                        how = how.without_cancelled();
+                    }
                     if peer.frames.try_send(Frame::Ended { call, how }).is_err() {
                         self.event_log.link_full(&host);
                     }
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -273,6 +273,22 @@
         self.write("request_refused", fields);
     }
 
+    /// Logs the answer to a caller who cancels a job. `undecided` are the hosts that may run the job
+    /// and gave no clear answer.
+    pub fn cancel_answered(
+        &self,
+        id: &Id,
+        answer: &str,
+        undecided: &[Host],
+        age: Duration,
+        version: u64,
+    ) {
+        let undecided: Vec<&str> = undecided.iter().map(Host::as_str).collect();
+        let fields = json!({ "id": id.as_str(), "answer": answer, "undecided": undecided,
+            "age_ms": ms(age), "version": version });
+        self.write("cancel_answered", fields);
+    }
+
     /// Logs the answer to a job; the name of the event tells its outcome.
     pub fn job_ended(&self, event: &'static str, fields: Value) {
         self.write(event, fields);
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -4,6 +4,7 @@
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
+use heathertrack::pool::search::Holding;
 use heathertrack::pool::{Load, Loss, LossCause, Task};
 use heathertrack_platform::{HostRecord, Item};
 use serde::{Deserialize, Deserializer, Serialize};
@@ -61,8 +62,28 @@
     /// Reports runs that were lost with their upstreams. Sent only to hosts with
     /// [`Hello::takes_losses`].
     Losses { losses: Vec<LossWire> },
+    /// Cancels a job by its identifier, and asks whether the receiver held it. Sent only to hosts
+    /// with [`Hello::takes_cancellations`], as are the following messages.
+    CancelJob {
+        /// Number of the search, assigned by the sender.
+        search: u64,
+        id: String,
+    },
+    /// Answer to [`Frame::CancelJob`].
+    CancelAnswer {
+        /// Number of the search, assigned by the receiver.
+        search: u64,
+        holding: HoldingWire,
+    },
+    /// Reports jobs that were cancelled a short time ago. At most [`MAX_CANCELLED_JOBS`].
+    Cancelled { jobs: Vec<CancelledWire> },
 }
 
+/// Maximum number of jobs in one [`Frame::Cancelled`].
+pub const MAX_CANCELLED_JOBS: usize = 4_096;
+/// Maximum length of the identifier of a job that a peer cancels. Those of callers are far shorter.
+const MAX_CANCELLED_ID_BYTES: usize = 64;
+
 /// Identity of the sender.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Hello {
@@ -80,6 +101,10 @@
     /// Whether the sender understands [`Frame::Losses`]. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
     pub takes_losses: bool,
+    /// Whether the sender understands [`Frame::CancelJob`], [`Frame::CancelAnswer`],
+    /// [`Frame::Cancelled`] and [`OutcomeWire::Cancelled`]. Earlier releases don't send this field.
+    #[serde(deserialize_with = "or_default")]
+    pub takes_cancellations: bool,
 }
 
 /// Reads a field that earlier releases don't send. Only such fields may follow it in its message, as
@@ -119,6 +144,9 @@
     /// dispatch. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
     pub is_starting: bool,
+    /// The sender has jobs in its pool. Earlier releases don't send this field.
+    #[serde(deserialize_with = "or_default")]
+    pub has_jobs: bool,
 }
 
 /// Job for a dispatcher. Times are relative, as the clocks of hosts differ.
@@ -162,8 +190,31 @@
 pub enum OutcomeWire {
     Completed,
     Failed,
-    NotRun { retry_after_us: u64, why: String },
-    MayHaveRun { why: String },
+    NotRun {
+        retry_after_us: u64,
+        why: String,
+    },
+    MayHaveRun {
+        why: String,
+    },
+    /// Sent only to hosts with [`Hello::takes_cancellations`].
+    Cancelled,
+}
+
+/// [`Holding`].
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub enum HoldingWire {
+    Held,
+    Absent,
+    Unknown,
+}
+
+/// A cancelled job.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct CancelledWire {
+    pub id: String,
+    /// Time for which the sender still remembers it, in microseconds.
+    pub remaining_us: u64,
 }
 
 /// Runs that were lost with the process of their upstream, with the fields of [`Loss`].
@@ -218,6 +269,7 @@
             cpu_share: record.cpu_share,
             takes_handovers: true,
             takes_losses: true,
+            takes_cancellations: true,
         }
     }
 }
@@ -337,6 +389,18 @@
                 OutcomeWire::NotRun { retry_after_us: micros(*retry_after), why: (*why).to_owned() }
             }
             Outcome::MayHaveRun(why) => OutcomeWire::MayHaveRun { why: (*why).to_owned() },
+            Outcome::Cancelled => OutcomeWire::Cancelled,
+        }
+    }
+}
+
+impl OutcomeWire {
+    /// Returns the outcome for a host of an earlier release, which doesn't know
+    /// [`OutcomeWire::Cancelled`].
+    pub fn without_cancelled(self) -> Self {
+        match self {
+            OutcomeWire::Cancelled => OutcomeWire::MayHaveRun { why: "cancelled".to_owned() },
+            other => other,
         }
     }
 }
@@ -352,10 +416,48 @@
                 why: "the dispatcher has no room for it",
             },
             OutcomeWire::MayHaveRun { .. } => Outcome::MayHaveRun("the dispatcher gave it up"),
+            OutcomeWire::Cancelled => Outcome::Cancelled,
+        }
+    }
+}
+
+impl From<Holding> for HoldingWire {
+    fn from(holding: Holding) -> Self {
+        match holding {
+            Holding::Held => HoldingWire::Held,
+            Holding::Absent => HoldingWire::Absent,
+            Holding::Unknown => HoldingWire::Unknown,
         }
     }
 }
 
+impl From<HoldingWire> for Holding {
+    fn from(wire: HoldingWire) -> Self {
+        match wire {
+            HoldingWire::Held => Holding::Held,
+            HoldingWire::Absent => Holding::Absent,
+            HoldingWire::Unknown => Holding::Unknown,
+        }
+    }
+}
+
+impl CancelledWire {
+    /// Returns the message for a cancelled job.
+    pub fn new(id: &Id, remaining: Duration) -> Self {
+        CancelledWire { id: id.to_string(), remaining_us: micros(remaining) }
+    }
+
+    /// Returns the job and the time for which it is remembered, if the identifier is valid.
+    pub fn job(&self) -> Option<(Id, Duration)> {
+        Some((cancelled_id(&self.id)?, Duration::from_micros(self.remaining_us)))
+    }
+}
+
+/// Returns the identifier of a job that a peer cancels, if it is one that is worth remembering.
+pub fn cancelled_id(text: &str) -> Option<Id> {
+    (1..=MAX_CANCELLED_ID_BYTES).contains(&text.len()).then(|| Id::new(text))
+}
+
 impl From<&Item> for ItemWire {
     fn from(item: &Item) -> Self {
         ItemWire { key: item.key.clone(), revision: item.revision, value: item.value.clone() }
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -180,6 +180,11 @@
             }
             Frame::Handover { upstreams } => entry.handle_handover(upstreams),
             Frame::Losses { losses } => entry.handle_losses(losses),
+            Frame::CancelJob { search, id } => entry.handle_cancel_job(host, search, &id),
+            Frame::CancelAnswer { search, holding } => {
+                entry.handle_cancel_answer(host, search, holding);
+            }
+            Frame::Cancelled { jobs } => entry.handle_cancelled(&jobs),
         }
     }
 }
--- a/crates/heathertrackd/src/entry/link/heartbeat.rs
+++ b/crates/heathertrackd/src/entry/link/heartbeat.rs
@@ -41,6 +41,7 @@
             // Set for each link.
             period_us: 0,
             is_starting: !state.has_started,
+            has_jobs: state.pool.has_jobs(),
         }
     }
 
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -33,7 +33,7 @@
         dialled: bool,
         frames: mpsc::Sender<Frame>,
     ) -> Option<u64> {
-        let Hello { incarnation, takes_handovers, takes_losses, .. } = hello;
+        let Hello { incarnation, takes_handovers, takes_losses, takes_cancellations, .. } = hello;
         let record = HostRecord::from(hello);
         let host = record.name.clone();
         // If two hosts dialled each other, both keep the link that the host with the smaller name
@@ -61,12 +61,14 @@
             incarnation,
             takes_handovers,
             takes_losses,
+            takes_cancellations,
             dialled,
             // The state and load are unknown until the first heartbeat of the peer.
             has_reported: false,
             is_starting: true,
             leaving: false,
             dispatches_own_centre: false,
+            has_jobs: false,
             load: Load::default(),
             handed_cores: 0.0,
             jobs: BTreeMap::new(),
@@ -75,8 +77,15 @@
             last_handover: None,
             unused_since: None,
         };
+        if takes_cancellations {
+            for frame in self.cancelled_frames() {
+                // The queue of a new link has room.
+                let _ = peer.frames.try_send(frame);
+            }
+        }
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        state.lost_hosts.remove(&host);
         let losses = state.pool.remembered_losses(now);
         if takes_losses && !losses.is_empty() {
             let losses = losses.iter().map(LossWire::from).collect();
@@ -98,7 +107,15 @@
             if state.peers.get(host).map(|peer| peer.link_number) != Some(link) {
                 return;
             }
+            let is_needed = state.peers.get(host).is_some_and(|peer| {
+                let relation =
+                    state.link_relation(&self.record, &peer.record, &self.seeds.borrow());
+                relation.needs_link(state.hosts.len())
+            });
             let Some(peer) = state.peers.remove(host) else { return };
+            if is_needed && !peer.leaving {
+                state.note_lost_host(host, now);
+            }
             state.owners_stale = true;
             let call_numbers: Vec<u64> = state
                 .remote_jobs
@@ -156,6 +173,7 @@
         peer.is_starting = heartbeat.is_starting;
         peer.leaving = heartbeat.leaving;
         peer.dispatches_own_centre = heartbeat.dispatches;
+        peer.has_jobs = heartbeat.has_jobs;
         peer.load = heartbeat.load();
         // Counts only the jobs that were handed to the peer since this heartbeat.
         peer.handed_cores = 0.0;
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -60,6 +60,8 @@
     pub(super) wake_dialler: Notify,
     /// Wakes the requests that wait for the first configuration.
     pub(super) configuration_arrived: Notify,
+    /// Wakes the searches for cancelled jobs when a host has answered one.
+    pub(super) search_answered: Notify,
     /// Lease of the record of this host in the store.
     pub(super) lease: Cell<Option<LeaseId>>,
 }
@@ -106,6 +108,7 @@
             wake_follower: Notify::new(),
             wake_dialler: Notify::new(),
             configuration_arrived: Notify::new(),
+            search_answered: Notify::new(),
             lease: Cell::new(None),
             settings,
         });
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -1,3 +1,4 @@
+use super::cancel::WaitingJobs;
 use super::frame::Frame;
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
@@ -5,7 +6,8 @@
 use heathertrack::membership::depth::{MirrorScope, first_full_read_delay, mirror_scope};
 use heathertrack::membership::links::Relation;
 use heathertrack::name::{Host, Upstream};
-use heathertrack::pool::job::Outcome;
+use heathertrack::pool::job::{Id, Outcome};
+use heathertrack::pool::search::Search;
 use heathertrack::pool::{JobKey, Load, Options, Pool, upstream};
 use heathertrack::routes::RouteTable;
 use heathertrack_platform::HostRecord;
@@ -39,7 +41,13 @@
     pub replies: BTreeMap<JobKey, Reply>,
     /// Jobs handed to other dispatchers, by call number.
     pub remote_jobs: BTreeMap<u64, RemoteJob>,
-    /// Number given last to a link or a remote job.
+    /// Callers' jobs that this host is running.
+    pub waiting_jobs: WaitingJobs,
+    /// Searches for jobs that callers of this host cancel, by number.
+    pub searches: BTreeMap<u64, Search>,
+    /// Hosts that were lost without a planned stop and are not back, with the time of the loss.
+    pub lost_hosts: BTreeMap<Host, Time>,
+    /// Number given last to a link, a remote job, a caller's job or a search.
     pub last_number: u64,
     /// Number of callers with a request in progress on this host.
     pub waiting_callers: usize,
@@ -93,6 +101,8 @@
     pub takes_handovers: bool,
     /// Whether the peer understands [`Frame::Losses`].
     pub takes_losses: bool,
+    /// Whether the peer understands [`Frame::CancelJob`] and what belongs to it.
+    pub takes_cancellations: bool,
     /// Whether this host opened the connection.
     pub dialled: bool,
     /// Whether the peer has sent a heartbeat. Before that, it is unknown whether it dispatches.
@@ -103,6 +113,8 @@
     pub leaving: bool,
     /// Whether the peer owns upstreams of its own data centre.
     pub dispatches_own_centre: bool,
+    /// Whether the peer has jobs in its pool.
+    pub has_jobs: bool,
     /// Load that the peer reported last.
     pub load: Load,
     /// Cores of the jobs handed to the peer since it reported `load`.
@@ -138,6 +150,7 @@
 /// A job that was handed to another dispatcher.
 #[derive(Debug)]
 pub struct RemoteJob {
+    pub id: Id,
     pub host: Host,
     pub reply: oneshot::Sender<Outcome>,
 }
@@ -155,6 +168,9 @@
             peers: BTreeMap::new(),
             replies: BTreeMap::new(),
             remote_jobs: BTreeMap::new(),
+            waiting_jobs: WaitingJobs::new(),
+            searches: BTreeMap::new(),
+            lost_hosts: BTreeMap::new(),
             last_number: 0,
             waiting_callers: 0,
             leaving: false,
@@ -186,7 +202,10 @@
         let has_jobs = |peer: &Peer| !peer.jobs.is_empty() || self.has_remote_job(&other.name);
         Relation {
             same_data_centre: own.data_centre == other.data_centre,
-            dispatches: self.is_dispatcher() || peer.is_some_and(Peer::is_dispatcher),
+            // A former dispatcher counts until its last job has ended, so that the job can be found.
+            dispatches: self.is_dispatcher()
+                || self.pool.has_jobs()
+                || peer.is_some_and(|peer| peer.is_dispatcher() || peer.has_jobs),
             has_submitted_jobs: peer.is_some_and(has_jobs),
             seed: seeds.contains(&other.peers),
         }
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -1,6 +1,7 @@
 //! Submission of a job to a dispatcher, local or remote, and the wait for its outcome.
 
 use super::boot_clock::Clock;
+use super::cancel::WaitingJob;
 use super::frame::{Frame, Submit};
 use super::node::{EntryHost, Environment};
 use super::routing::peak_cores;
@@ -8,10 +9,11 @@
 use heathertrack::name::Host;
 use heathertrack::pool::JobKey;
 use heathertrack::pool::job::{Outcome, Request};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Maximum number of dispatchers that a job is offered to, one after another, as long as none has
 /// started any of its tasks.
@@ -22,6 +24,9 @@
 /// Pause between attempts to find a dispatcher while none is known: a fraction of the shortest wait
 /// that a job tolerates.
 const DISPATCHER_RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Longest time from the cancelling of a job to the answer to its caller. The runs have ended by then,
+/// if only because their leases have expired.
+const MAX_STOP_TIME: Duration = Duration::from_secs(1);
 /// Retry-after time sent to a caller when no dispatcher is known: about the duration of a takeover.
 const TAKEOVER_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -63,14 +68,39 @@
 }
 
 impl<E: Environment> EntryHost<E> {
+    /// Runs a job until it ends or is cancelled. Returns the dispatcher that was tried last, if it
+    /// is known, and the outcome.
+    pub async fn run_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
+        let now = self.now();
+        if self.state.borrow().pool.is_cancelled(&job.id, now) {
+            return (None, Outcome::Cancelled);
+        }
+        let waiting = WaitingJob::new(self, &job.id);
+        let mut running = pin!(self.offer_job(job));
+        tokio::select! {
+            // An outcome that is ready is delivered.
+            biased;
+            ended = &mut running => return ended,
+            () = waiting.cancelled.notified() => {}
+        }
+        match timeout(MAX_STOP_TIME, running).await {
+            Ok(ended @ (_, Outcome::Completed | Outcome::Failed)) => ended,
+            Ok((dispatcher, _)) => (dispatcher, Outcome::Cancelled),
+            Err(_) => (None, Outcome::Cancelled),
+        }
+    }
+
     /// Offers a job to one dispatcher after another, and waits for its outcome. Returns the
     /// dispatcher that was tried last, and the outcome.
-    pub async fn run_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
+    async fn offer_job(self: &Rc<Self>, job: Request) -> (Option<Host>, Outcome) {
         let mut tried: Vec<Host> = Vec::new();
         let mut last_outcome =
             Outcome::NotRun { retry_after: TAKEOVER_RETRY_AFTER, why: "no dispatcher is known" };
         while tried.len() < MAX_OFFERS {
             let now = self.now();
+            if self.state.borrow().pool.is_cancelled(&job.id, now) {
+                return (tried.pop(), Outcome::Cancelled);
+            }
             let is_late = now.since(job.received) > job.objective.mul_f64(REOFFER_SHARE);
             if is_late && !tried.is_empty() {
                 break;
@@ -128,7 +158,9 @@
                 peer.frames.try_send(Frame::Submit(submit)).is_ok()
             });
             if sent {
-                state.remote_jobs.insert(call, RemoteJob { host: host.clone(), reply });
+                state
+                    .remote_jobs
+                    .insert(call, RemoteJob { id: job.id.clone(), host: host.clone(), reply });
             } else {
                 let why = "the dispatcher can't be reached";
                 // Cannot fail: the receiver is kept in the returned value.
