Don't blame tasks for upstreams that stop together

A loss now says nothing about a task if several other upstreams, on which no task of its job ran, stopped at the same time: two, or a tenth of those known; four, or a quarter, while tasks are known to crash upstreams, which then start again in step; all in a pool of fewer than ten. A job whose tasks all crash their upstreams is so still the cause. If one other upstream stopped, the crash is doubtful. Whatever the cause, a task that lost five runs is given up, as the users' limit for starts after three crashes asks.

--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -147,6 +147,10 @@
 /// that is too long by 40%.
 const MIN_ESTIMATE_SHARE: f64 = 0.4;
 
+/// Number of runs of one task that may be lost with their upstreams, whether or not the task is
+/// blamed: the users let a task be started twice more after three upstreams have crashed under it.
+const MAX_LOST_RUNS: u32 = 5;
+
 /// State of one task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TaskState {
@@ -158,6 +162,8 @@
     pub failures: u32,
     /// Number of stalled runs.
     pub stalls: u32,
+    /// Number of runs that were lost with their upstream, for whatever cause.
+    pub losses: u32,
     /// Number of the last run; the next one gets a higher number.
     pub last_number: u32,
     /// Upstreams where one of its runs failed, was stopped, expired or disappeared.
@@ -195,6 +201,15 @@
         }
     }
 
+    /// Returns a task that lost the maximum number of runs with their upstreams, if there is one.
+    pub fn lost_too_often(&self) -> Option<Task> {
+        let mut steps = self.steps.iter().enumerate();
+        steps.find_map(|(step, tasks)| {
+            let index = tasks.iter().position(|task| task.losses >= MAX_LOST_RUNS)?;
+            Some(self.task(step, index))
+        })
+    }
+
     /// Returns the instant at which the job's objective ends.
     pub fn due(&self) -> Time {
         self.request.received + self.request.objective
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -180,9 +180,9 @@
         let Some(job) = self.jobs.get(key) else { return false };
         self.suspects.extend(self.quarantine.suspects(&job.request.id, now));
         let blocked = self.quarantine.blocked_task(&job.request.id, now);
-        let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
-            return false;
-        };
+        let blocked = blocked.map(|(task, verdict)| (task.clone(), verdict));
+        let blocked = blocked.or_else(|| Some((job.lost_too_often()?, Verdict::Lost)));
+        let Some((task, verdict)) = blocked else { return false };
         let (crashes, losses) = self.quarantine.counts(&task);
         self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, losses }));
         if verdict == Verdict::Crashing {
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -1,7 +1,11 @@
 //! Which tasks are blamed for the loss of an upstream.
+//!
+//! Addresses the load pattern "a rack loses power, and another one a moment later": the tasks that
+//! ran there have no part in it, unlike a task that crashes one upstream after another.
 
 use super::Pool;
 use crate::clock::Time;
+use crate::pool::job::Id;
 use crate::pool::quarantine::Blame;
 use crate::pool::run::Run;
 use crate::pool::upstream::Upstream;
@@ -14,6 +18,19 @@
 /// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
 /// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
 const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
+/// Least number of other upstreams that stop together with one if the cause is a common one. A job
+/// crashes the upstreams of its own tasks, and two such jobs may do so at the same time.
+const MIN_COMMON_STOPS: usize = 2;
+/// Number of upstreams for each other one that stops if the cause is a common one. The more
+/// upstreams there are, the more unrelated crashes come at the same time. In a smaller pool, all
+/// upstreams have to stop: a few may crash under unrelated jobs.
+const UPSTREAMS_PER_COMMON_STOP: usize = 10;
+/// Replaces [`MIN_COMMON_STOPS`] while tasks are known to crash upstreams. Such tasks are started
+/// again together once the leases have expired of upstreams that crashed together.
+const MIN_COMMON_STOPS_AMID_CRASHES: usize = 4;
+/// Replaces [`UPSTREAMS_PER_COMMON_STOP`] while tasks are known to crash upstreams.
+const UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES: usize = 4;
+
 impl Pool {
     /// Returns the other upstreams that stopped responding at the same time as this one, and still
     /// don't respond.
@@ -33,9 +50,30 @@
         self.stopped_with(key, cause).count()
     }
 
+    /// Returns how many other upstreams have to stop together with one for a common cause, such as
+    /// the power of a rack or the network.
+    fn min_common_stops(&self, now: Time) -> usize {
+        let (least, upstreams_per_stop) = if self.quarantine.has_convicted(now) {
+            (MIN_COMMON_STOPS_AMID_CRASHES, UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES)
+        } else {
+            (MIN_COMMON_STOPS, UPSTREAMS_PER_COMMON_STOP)
+        };
+        let known = self.upstreams.len();
+        let others = known.saturating_sub(1).max(1);
+        if known < UPSTREAMS_PER_COMMON_STOP {
+            return others;
+        }
+        known.div_ceil(upstreams_per_stop).max(least)
+    }
+
     /// Records what a loss says about the tasks of the lost runs, and reports it to the other
     /// dispatchers.
     pub(super) fn blame_tasks(&mut self, runs: &[RunKey], loss: &Loss, now: Time) {
+        for run in runs.iter().filter_map(|run| self.runs.get(*run)) {
+            if let Some(job) = run.job.and_then(|job| self.jobs.get_mut(job)) {
+                job.steps[run.task.step as usize][run.task.index as usize].losses += 1;
+            }
+        }
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
         let blamed = |run: &Run| Some((run.task.clone(), self.blame(run, loss.cause, now)?));
@@ -52,6 +90,10 @@
 
     /// Returns what the loss of a run says about its task; `None` if nothing.
     fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Option<Blame> {
+        let stops = self.unrelated_stops(run.upstream, cause, &run.task.job);
+        if stops >= self.min_common_stops(now) {
+            return None;
+        }
         if !cause.is_crash() {
             return run.seen_running.then_some(Blame::Unknown);
         }
@@ -59,7 +101,13 @@
             |upstream: &Upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty();
         let is_only_suspect = !self.quarantine.is_suspect(&run.task, now)
             || self.upstreams.get(run.upstream).is_some_and(is_alone);
-        let is_proven = run.seen_running && is_only_suspect;
+        let is_proven = run.seen_running && stops == 0 && is_only_suspect;
         Some(if is_proven { Blame::Crash } else { Blame::Doubtful })
     }
+
+    /// Returns how many other upstreams stopped at the same time without a run of this job.
+    fn unrelated_stops(&self, key: UpstreamKey, cause: LossCause, job: &Id) -> usize {
+        let others = self.stopped_with(key, cause);
+        others.filter(|upstream| !upstream.stopped_jobs.contains(job)).count()
+    }
 }
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -193,6 +193,8 @@
         if upstream.unresponsive_since.is_none() {
             upstream.unresponsive_since = Some(now);
             upstream.stopped_at = Some(now);
+            let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
+            upstream.stopped_jobs = runs.map(|run| run.task.job.clone()).collect();
             upstream.poll_due = now;
             self.log_upstream_state(key, "does not respond", now);
         }
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -32,7 +32,8 @@
 pub(super) enum Blame {
     /// Its run had begun, and nothing is known of the upstream.
     Unknown,
-    /// The upstream crashed, but the run may not have begun, or another one ran beside this suspect.
+    /// The upstream crashed, but the run may not have begun, another one ran beside this suspect, or
+    /// another upstream crashed at the same time.
     Doubtful,
     /// The upstream crashed under its run.
     Crash,
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -1,12 +1,12 @@
 //! Upstreams as a dispatcher tracks them.
 
 use super::health::Health;
-use super::job::{Needs, Step};
+use super::job::{Id, Needs, Step};
 use super::speed::Speed;
 use super::{LossCause, RunKey, Task};
 use crate::clock::Time;
 use crate::name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,6 +119,8 @@
     pub unresponsive_since: Option<Time>,
     /// When it last stopped responding.
     pub stopped_at: Option<Time>,
+    /// Jobs that had runs here then.
+    pub stopped_jobs: BTreeSet<Id>,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -155,6 +157,7 @@
             failed_polls: 0,
             unresponsive_since: None,
             stopped_at: None,
+            stopped_jobs: BTreeSet::new(),
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
