Take a loss back when the same process answers again

An upstream behind a path that refuses connections or loses packets looks like one that crashed, until it answers again. Its process then has the same start time, which proves that it hadn't crashed, but the loss stayed with the tasks for a minute: three cuts gave a job up, two that refused showed it as failed, also when it was submitted again.

--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -13,7 +13,7 @@
 /// What is known of an upstream's process when runs are lost with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossCause {
-    /// Its record said that it was leaving.
+    /// It left as planned, or turned out to run on.
     Left,
     /// Nothing came from it: it has crashed, is suspended or partitioned.
     Unresponsive,
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -68,12 +68,21 @@
 
     /// Records what a loss says about the tasks of the lost runs, and reports it to the other
     /// dispatchers.
-    pub(super) fn blame_tasks(&mut self, runs: &[RunKey], loss: &Loss, now: Time) {
+    pub(super) fn blame_tasks(
+        &mut self,
+        key: UpstreamKey,
+        runs: &[RunKey],
+        loss: &Loss,
+        now: Time,
+    ) {
         for run in runs.iter().filter_map(|run| self.runs.get(*run)) {
             if let Some(job) = run.job.and_then(|job| self.jobs.get_mut(job)) {
                 job.steps[run.task.step as usize][run.task.index as usize].losses += 1;
             }
         }
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.has_lost_runs = true;
+        }
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
         let blamed = |run: &Run| Some((run.task.clone(), self.blame(run, loss.cause, now)?));
@@ -110,4 +119,22 @@
         let others = self.stopped_with(key, cause);
         others.filter(|upstream| !upstream.stopped_jobs.contains(job)).count()
     }
+
+    /// Takes back the loss of an upstream's process, which has answered again, here and at the other
+    /// dispatchers.
+    pub(super) fn take_back_loss(&mut self, key: UpstreamKey, started_ms: u64, now: Time) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let process = (upstream.record.name.clone(), Some(started_ms));
+        let tasks = self.quarantine.take_back(&process);
+        if tasks.is_empty() {
+            return;
+        }
+        let quarantine = &self.quarantine;
+        self.suspects.retain(|task| quarantine.is_suspect(task, now));
+        let (upstream, started_ms) = process;
+        let cause = LossCause::Left;
+        let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
+        self.effects.push(Effect::ReportLoss(loss));
+        self.log_upstream_state(key, "runs on after its runs were lost", now);
+    }
 }
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -33,12 +33,16 @@
             self.log_upstream_state(key, "responds again", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let may_have_lost_runs = upstream.has_lost_runs || upstream.clock.is_none();
+        upstream.has_lost_runs = false;
         upstream.record_clock(listing.clock_ms, now);
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
             self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
             self.log_upstream_state(key, "process restarted", now);
+        } else if may_have_lost_runs {
+            self.take_back_loss(key, listing.started_ms, now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -212,7 +212,7 @@
             let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
             let stopped_with_it = self.count_stopped_with(key, cause);
             if cause != LossCause::Left {
-                self.blame_tasks(&runs, &loss, now);
+                self.blame_tasks(key, &runs, &loss, now);
             }
             let lost = Decision::RunsLost { loss, begun, stopped_with_it, age };
             self.effects.push(Effect::Log(lost));
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -139,14 +139,29 @@
         }
     }
 
-    /// Records another dispatcher's report of a loss.
+    /// Records another dispatcher's report of a loss, or of one that is taken back.
     pub fn record_report(&mut self, loss: &Loss, now: Time) {
-        if loss.cause != LossCause::Left {
-            let process = (loss.upstream.clone(), loss.started_ms);
+        let process = (loss.upstream.clone(), loss.started_ms);
+        if loss.cause == LossCause::Left {
+            self.take_back(&process);
+        } else {
             self.record(&process, &loss.tasks, Blame::of_report(loss), now);
         }
     }
 
+    /// Takes back the loss of a process that turned out to run on. Returns the tasks that it was
+    /// recorded for.
+    pub fn take_back(&mut self, process: &Process) -> Vec<Task> {
+        let mut tasks = Vec::new();
+        for (task, entry) in &mut self.entries {
+            if entry.losses.remove(process).is_some() {
+                tasks.push(task.clone());
+            }
+        }
+        self.entries.retain(|_, entry| !entry.losses.is_empty());
+        tasks
+    }
+
     /// Returns reports of the losses that are remembered.
     pub fn losses(&self, now: Time) -> Vec<Loss> {
         let mut losses: BTreeMap<(&Process, Blame), Vec<Task>> = BTreeMap::new();
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -121,6 +121,8 @@
     pub stopped_at: Option<Time>,
     /// Jobs that had runs here then.
     pub stopped_jobs: BTreeSet<Id>,
+    /// Whether runs were lost with it since it last answered a poll.
+    pub has_lost_runs: bool,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -158,6 +160,7 @@
             unresponsive_since: None,
             stopped_at: None,
             stopped_jobs: BTreeSet::new(),
+            has_lost_runs: false,
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
