Don't count a process that ends after a run's lease as a crash under the run

When another process answered at an upstream, all losses with the former one became crashes, though the runs had expired with their lease while the upstream was silent, and the process may have ended seconds later: behind a cut, or in a planned restart. A replaced process counts as a crash only until the lease of its runs has expired; nothing is turned into a crash afterwards.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -39,7 +39,6 @@
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
-            self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
             self.log_upstream_state(key, "process restarted", now);
         } else if may_have_lost_runs {
             self.take_back_loss(key, listing.started_ms, now);
@@ -135,7 +134,7 @@
         };
         let over = upstream.runs.iter().copied().filter(is_over);
         let (absent, lost): (Vec<RunKey>, Vec<RunKey>) = over.partition(of_same_process);
-        self.lose_runs(key, lost, upstream.replacement_cause(), RunEnd::Disappeared, now);
+        self.lose_runs(key, lost, upstream.replacement_cause(now), RunEnd::Disappeared, now);
         for run in absent {
             self.end_run(run, RunEnd::Disappeared, now);
         }
@@ -182,10 +181,9 @@
     pub fn on_process_replaced(&mut self, key: UpstreamKey, now: Time) {
         self.mark_unresponsive(key, now);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause(now));
         upstream.clock = None;
         upstream.lease_expiry = now;
-        self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
-        let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause());
         self.lose_runs(key, runs, cause, RunEnd::Disappeared, now);
     }
 
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -177,16 +177,6 @@
         losses.into_iter().map(report).collect()
     }
 
-    /// Records that a process is known to have ended.
-    pub fn confirm(&mut self, upstream: &name::Upstream, started_ms: Option<u64>) {
-        let process = (upstream.clone(), started_ms);
-        for entry in self.entries.values_mut() {
-            if let Some(blame) = entry.losses.get_mut(&process) {
-                *blame = Blame::Crash;
-            }
-        }
-    }
-
     /// Returns whether a task was found to crash upstreams a short time ago, so that others may.
     pub fn has_convicted(&self, now: Time) -> bool {
         self.last_conviction.is_some_and(|at| now.since(at) < CONVICTION_SPAN)
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -188,9 +188,15 @@
     }
 
     /// Returns what is known of the process with which the runs here were lost, as another one has
-    /// answered.
-    pub fn replacement_cause(&self) -> LossCause {
-        if self.record.draining { LossCause::Left } else { LossCause::Replaced }
+    /// answered. The process may have ended after the lease of the runs.
+    pub fn replacement_cause(&self, now: Time) -> LossCause {
+        if self.record.draining {
+            LossCause::Left
+        } else if now <= self.lease_expiry {
+            LossCause::Replaced
+        } else {
+            LossCause::Unresponsive
+        }
     }
 
     /// Returns what is known of the process with which the runs here were lost, if it has not been
