--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -29,17 +29,19 @@
     pub fn on_poll_answer(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.polls_in_flight = upstream.polls_in_flight.saturating_sub(1);
-        if upstream.unresponsive {
-            upstream.unresponsive = false;
+        if upstream.unresponsive_since.take().is_some() {
             self.log_upstream_state(key, "responds again", now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let may_have_lost_runs = upstream.has_lost_runs || upstream.clock.is_none();
+        upstream.has_lost_runs = false;
         upstream.record_clock(listing.clock_ms, now);
         if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
-            self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
             self.log_upstream_state(key, "process restarted", now);
+        } else if may_have_lost_runs {
+            self.take_back_loss(key, listing.started_ms, now);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
@@ -132,7 +134,7 @@
         };
         let over = upstream.runs.iter().copied().filter(is_over);
         let (absent, lost): (Vec<RunKey>, Vec<RunKey>) = over.partition(of_same_process);
-        self.lose_runs(key, lost, upstream.replacement_cause(), RunEnd::Disappeared, now);
+        self.lose_runs(key, lost, upstream.replacement_cause(now), RunEnd::Disappeared, now);
         for run in absent {
             self.end_run(run, RunEnd::Disappeared, now);
         }
@@ -179,10 +181,9 @@
     pub fn on_process_replaced(&mut self, key: UpstreamKey, now: Time) {
         self.mark_unresponsive(key, now);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause(now));
         upstream.clock = None;
         upstream.lease_expiry = now;
-        self.quarantine.confirm(&upstream.record.name, upstream.started_ms);
-        let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause());
         self.lose_runs(key, runs, cause, RunEnd::Disappeared, now);
     }
 
@@ -191,8 +192,11 @@
     pub(super) fn mark_unresponsive(&mut self, key: UpstreamKey, now: Time) {
         self.short_polls_until = now + self.options.short_poll_span;
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        if !upstream.unresponsive {
-            upstream.unresponsive = true;
+        if upstream.unresponsive_since.is_none() {
+            upstream.unresponsive_since = Some(now);
+            upstream.stopped_at = Some(now);
+            let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
+            upstream.stopped_jobs = runs.map(|run| run.task.job.clone()).collect();
             upstream.poll_due = now;
             self.log_upstream_state(key, "does not respond", now);
         }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -200,6 +200,7 @@
     ) {
         let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
         let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
+        let begun = lost().filter(|run| run.seen_running).map(|run| run.task.clone()).collect();
         let started_ms = lost().next().and_then(|run| run.process_started_ms);
         let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
@@ -207,10 +208,14 @@
             && !tasks.is_empty()
         {
             let age = now.since(upstream.last_answer);
-            let loss = Loss { upstream: upstream.record.name.clone(), started_ms, cause, tasks };
-            self.quarantine.record(&loss, now);
-            self.effects.push(Effect::ReportLoss(loss.clone()));
-            self.effects.push(Effect::Log(Decision::RunsLost { loss, age }));
+            let upstream = upstream.record.name.clone();
+            let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
+            let stopped_with_it = self.count_stopped_with(key, cause);
+            if cause != LossCause::Left {
+                self.blame_tasks(key, &runs, &loss, now);
+            }
+            let lost = Decision::RunsLost { loss, begun, stopped_with_it, age };
+            self.effects.push(Effect::Log(lost));
         }
         for run in runs {
             self.end_run(run, how, now);
@@ -222,7 +227,7 @@
 
     /// Handles another dispatcher's report of a loss.
     pub fn on_loss_report(&mut self, loss: &Loss, now: Time) {
-        self.quarantine.record(loss, now);
+        self.quarantine.record_report(loss, now);
         let job = |task: &Task| self.jobs_by_id.get(&task.job).copied();
         let jobs: BTreeSet<JobKey> = loss.tasks.iter().filter_map(job).collect();
         for job in jobs {
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -1,12 +1,12 @@
 //! Upstreams as a dispatcher tracks them.
 
 use super::health::Health;
-use super::job::{Needs, Step};
+use super::job::{Id, Needs, Step};
 use super::speed::Speed;
 use super::{LossCause, RunKey, Task};
 use crate::clock::Time;
 use crate::name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,8 +115,14 @@
     pub lease_expiry: Time,
     /// Number of failed polls in a row.
     pub failed_polls: u32,
-    /// Whether an order or a poll has failed since the last answer.
-    pub unresponsive: bool,
+    /// When an order or a poll first failed since the last answer, if one has.
+    pub unresponsive_since: Option<Time>,
+    /// When it last stopped responding.
+    pub stopped_at: Option<Time>,
+    /// Jobs that had runs here then.
+    pub stopped_jobs: BTreeSet<Id>,
+    /// Whether runs were lost with it since it last answered a poll.
+    pub has_lost_runs: bool,
     /// Whether the last poll was refused a connection.
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
@@ -151,7 +157,10 @@
             poll_due: now,
             lease_expiry: now,
             failed_polls: 0,
-            unresponsive: false,
+            unresponsive_since: None,
+            stopped_at: None,
+            stopped_jobs: BTreeSet::new(),
+            has_lost_runs: false,
             refuses_connections: false,
             no_starts_until: now,
             has_ends_to_acknowledge: false,
@@ -173,15 +182,21 @@
     pub fn record_clock(&mut self, clock_ms: u64, now: Time) {
         self.clock = Some(ClockSample { clock_ms, at: now });
         self.last_answer = now;
-        self.unresponsive = false;
+        self.unresponsive_since = None;
         self.refuses_connections = false;
         self.failed_polls = 0;
     }
 
     /// Returns what is known of the process with which the runs here were lost, as another one has
-    /// answered.
-    pub fn replacement_cause(&self) -> LossCause {
-        if self.record.draining { LossCause::Left } else { LossCause::Replaced }
+    /// answered. The process may have ended after the lease of the runs.
+    pub fn replacement_cause(&self, now: Time) -> LossCause {
+        if self.record.draining {
+            LossCause::Left
+        } else if now <= self.lease_expiry {
+            LossCause::Replaced
+        } else {
+            LossCause::Unresponsive
+        }
     }
 
     /// Returns what is known of the process with which the runs here were lost, if it has not been
@@ -251,7 +266,7 @@
     pub fn is_usable(&self, now: Time) -> bool {
         self.ownership == Ownership::Owned
             && !self.record.draining
-            && !self.unresponsive
+            && self.unresponsive_since.is_none()
             && self.clock.is_some()
             && self.missing_since.is_none()
             && !self.health.is_ejected(now)
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -101,6 +101,8 @@
     pub takes_handovers: bool,
     /// Whether the peer understands [`Frame::Losses`].
     pub takes_losses: bool,
+    /// Whether the peer understands [`Frame::DoubtfulLosses`].
+    pub takes_doubtful_losses: bool,
     /// Whether the peer understands [`Frame::CancelJob`] and what belongs to it.
     pub takes_cancellations: bool,
     /// Whether this host opened the connection.
