Assign upstreams once for changes of peers that come together

A host that becomes a dispatcher gets links to all others within a second (edge-north-a-25: 31 live peers at 32.4 s, 108 live hosts at 33.1 s). The four hosts that got version 16 late, by 4.5 to 10.2 s, are all among the eleven with most lost links, and the host that got version 7 late by 1.9 s had 168 to 209 a second then. Hosts without such a storm got each version within 1.5 s; some with one did as well (edge-north-a-21, 23 and 24).

Change: changes of peers wake a task that computes one assignment for all of them, at once for the first and 20 ms later for those that follow. Changes of upstreams and the planned stop assign as before.

`heathertrack_assignments_total` counts them.

--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -155,7 +155,7 @@
             }
         }
         self.run_effects();
-        self.update_owners();
+        self.wake_owners.notify_one();
     }
 
     /// Records the state and load of a peer. Requests its items if its configuration is of a newer
@@ -201,8 +201,7 @@
         }
         if changed {
             state.owners_stale = true;
-            drop(state);
-            self.update_owners();
+            self.wake_owners.notify_one();
         }
     }
 
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -65,6 +65,11 @@
     counter!("heathertrack_store_calls_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts an assignment of all upstreams to dispatchers.
+pub fn upstreams_assigned() {
+    counter!("heathertrack_assignments_total").increment(1);
+}
+
 /// Counts log lines that were suppressed.
 pub fn lines_suppressed(event: &'static str, count: u64) {
     counter!("heathertrack_log_lines_left_out_total", "event" => event).increment(count);
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -2,7 +2,7 @@
 use super::event_log::EventLog;
 use super::state::State;
 use super::transport::Transport;
-use super::{callers, follow, link, ready, tick};
+use super::{callers, follow, link, ownership, ready, tick};
 use heathertrack::clock::Time;
 use heathertrack::pool::Options;
 use heathertrack_platform::{
@@ -56,6 +56,8 @@
     /// Wakes the task that reads the store when upstreams are assigned to this host, so that it
     /// reads their records at once.
     pub(super) wake_follower: Notify,
+    /// Wakes the task that reassigns upstreams when a link or the state of a peer has changed.
+    pub(super) wake_owners: Notify,
     /// Wakes the task that dials hosts when the store or a peer tells of a new one.
     pub(super) wake_dialler: Notify,
     /// Wakes the requests that wait for the first configuration.
@@ -106,6 +108,7 @@
             seeds: RefCell::new(settings.seeds.clone()),
             incarnation: rand::random(),
             wake_follower: Notify::new(),
+            wake_owners: Notify::new(),
             wake_dialler: Notify::new(),
             configuration_arrived: Notify::new(),
             search_answered: Notify::new(),
@@ -117,6 +120,7 @@
         ready::spawn(&entry, ready);
         link::spawn(&entry, peers);
         follow::spawn(&entry);
+        ownership::spawn(&entry);
         tick::spawn(&entry);
         Ok(entry)
     }
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -1,6 +1,7 @@
 //! Assignment of upstreams to dispatchers.
 
 use super::frame::Frame;
+use super::metrics;
 use super::node::{EntryHost, Environment};
 use super::state::{Peer, State};
 use heathertrack::clock::Time;
@@ -11,6 +12,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 /// Time for which a data centre has no live host before hosts of other data centres take over its
 /// upstreams. A process that was killed restarts sooner.
@@ -19,6 +22,24 @@
 /// are back within about two seconds.
 const MISSING_RECORD_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Pause between two assignments that changes of peers cause. An assignment takes a few milliseconds on
+/// a small host with a thousand upstreams, and peers come in hundreds: all hosts dial a new
+/// dispatcher at once.
+const CHANGES_PAUSE: Duration = Duration::from_millis(20);
+
+/// Starts the task that reassigns upstreams after changes of peers.
+pub fn spawn<E: Environment>(entry: &Rc<EntryHost<E>>) {
+    spawn_local(run(entry.clone()));
+}
+
+async fn run<E: Environment>(entry: Rc<EntryHost<E>>) {
+    loop {
+        entry.wake_owners.notified().await;
+        entry.update_owners();
+        sleep(CHANGES_PAUSE).await;
+    }
+}
+
 /// Result of one assignment of all upstreams.
 struct Assignment {
     /// Number of upstreams that are assigned to this host.
@@ -44,6 +65,7 @@
                 return;
             }
             state.owners_stale = false;
+            metrics::upstreams_assigned();
             let candidates = self.candidates(&state);
             let assignment = state.assign_upstreams(&self.record, &candidates, now);
             state.report_missing_to_pool(now);
