Read the configuration while other reads of the store fail

Cause: the task that follows the store makes one read at a time. A read of all items that is due, or the changes of all items, comes before the configuration, and if it fails or lasts it is repeated until it succeeds.

Change: after a failed read the next one begins with the changes of the configuration alone, a small read that a store in trouble answers. While a read takes more than a second, the configuration is followed beside it. Nothing is added while reads succeed within a second; while the store answers nothing the number of calls is as before, as the larger read isn't tried until the smaller one has succeeded.

Evidence: configuration_is_applied_while_reads_of_all_items_are_refused and configuration_is_applied_while_a_read_of_all_items_takes_long on the code before: "left: Some(404) right: Some(200)" 2 s after the change. following_the_configuration_costs_no_calls_while_the_store_answers passes before and after.

--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -7,6 +7,7 @@
 use heathertrack_platform::{
     Changes, DecodedItem, Item, KeyKind, LeaseId, MetadataStore, WatchError,
 };
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -27,6 +28,9 @@
 /// store returns changes in pages of 500 items, and a host that paused between them would fall
 /// behind.
 const FULL_ANSWER_CHANGES: usize = 400;
+/// Time after which the configuration is followed beside a read that covers more. No such read takes
+/// as long unless the store or the network is slow.
+const LONG_READ: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time after which the record of this host expires unless it is renewed.
@@ -55,14 +59,19 @@
 
 async fn follow<E: Environment>(entry: Rc<EntryHost<E>>) {
     let mut is_store_answering = true;
+    let mut has_failed = false;
     // Time of the last read of all items; `None` if changes may have been missed since.
     let mut last_full_read: Option<Time> = None;
     loop {
         let scope = entry.next_read_scope(last_full_read);
         let result = tokio::select! {
-            result = entry.read_store(scope, last_full_read) => result,
+            result = entry.read_configuration_first(scope, has_failed) => match result {
+                Ok(()) => entry.read_beside_configuration(scope, last_full_read).await,
+                Err(error) => Err(error),
+            },
             () = entry.wake_follower.notified() => continue,
         };
+        has_failed = result.is_err();
         match result {
             Ok(changes) => {
                 metrics::store_called(true);
@@ -142,6 +151,62 @@
         }
     }
 
+    /// Reads the configuration if the last read of anything more has failed: the store may refuse
+    /// that read again and answer this one.
+    async fn read_configuration_first(
+        self: &Rc<Self>,
+        scope: ReadScope,
+        has_failed: bool,
+    ) -> Result<(), WatchError> {
+        if has_failed && matches!(scope, ReadScope::All | ReadScope::Changes) {
+            self.read_configuration(Duration::ZERO).await?;
+        }
+        Ok(())
+    }
+
+    /// Reads the store, and follows the configuration meanwhile if that takes long.
+    async fn read_beside_configuration(
+        self: &Rc<Self>,
+        scope: ReadScope,
+        last_full_read: Option<Time>,
+    ) -> Result<Changes, WatchError> {
+        let follow_configuration = async {
+            if !matches!(scope, ReadScope::All | ReadScope::Changes) {
+                return;
+            }
+            sleep(LONG_READ).await;
+            loop {
+                match self.read_configuration(MAX_WAIT).await {
+                    Ok(()) => sleep(MIN_PAUSE).await,
+                    Err(WatchError::Call(_)) => sleep(RETRY_PAUSE).await,
+                    // The read beside it covers the configuration.
+                    Err(WatchError::Compacted) => return,
+                }
+            }
+        };
+        let mut reading = pin!(self.read_store(scope, last_full_read));
+        tokio::select! {
+            result = &mut reading => result,
+            () = follow_configuration => reading.await,
+        }
+    }
+
+    /// Reads the changes of the configuration, and applies them.
+    async fn read_configuration(self: &Rc<Self>, wait: Duration) -> Result<(), WatchError> {
+        let revision = self.state.borrow().configuration_revision;
+        let store = self.environment.metadata_store();
+        let mut changes = store.watch_configuration(revision, wait).await?;
+        metrics::store_called(true);
+        {
+            let mut state = self.state.borrow_mut();
+            state.configuration_revision = state.configuration_revision.max(changes.revision);
+        }
+        // Other items may have changed up to that revision.
+        changes.revision = 0;
+        self.apply_changes(changes, false);
+        Ok(())
+    }
+
     async fn read_store(
         self: &Rc<Self>,
         scope: ReadScope,
