--- a/crates/heathertrack/src/membership/links.rs
+++ b/crates/heathertrack/src/membership/links.rs
@@ -21,7 +21,7 @@
 pub struct Relation {
     /// Both are in the same data centre.
     pub same_data_centre: bool,
-    /// At least one is a dispatcher.
+    /// At least one is a dispatcher, or has jobs in its pool.
     pub dispatches: bool,
     /// One has submitted jobs to the other.
     pub has_submitted_jobs: bool,
