Fuzz that a cancelled job starts nothing

A job that is cancelled by its identifier now stays cancelled, so the event `Cancel`, which used `Pool::cancel_by_id`, no longer led to jobs that are submitted again after their runs were stopped.

--- a/crates/heathertrack/tests/fuzz/pool.rs
+++ b/crates/heathertrack/tests/fuzz/pool.rs
@@ -2,7 +2,7 @@
 //! unanswered. The upstreams never refuse for lack of capacity, so the dispatcher alone has to keep
 //! the rules: a task starts only after the steps it depends on, on a permitted upstream, within its
 //! capacity and the step's limit of tasks per upstream, never twice at once, and never after its
-//! job was reported as not run.
+//! job was reported as not run or cancelled.
 
 mod event;
 mod model;
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -25,6 +25,10 @@
 const DELAY_MS: u64 = 2_500;
 /// Number of failed runs of one task that fails its job.
 const MAX_ATTEMPTS: u32 = 2;
+/// Of the jobs that are cancelled, one in so many is cancelled for good.
+const CANCELLED_JOBS: u8 = 4;
+/// Time for which a cancelled job stays cancelled, in milliseconds.
+const CANCELLED_MS: u64 = 60_000;
 /// The order is executed after its delay, when the dispatcher counts it as lost.
 const DELAYED: bool = true;
 /// The order is executed when it is delivered.
@@ -67,6 +71,8 @@
     delayed: Vec<(u64, Effect)>,
     /// Submissions of each job, oldest first.
     jobs: BTreeMap<u8, Vec<Submission>>,
+    /// Jobs that were cancelled for good, with the time of that in milliseconds.
+    cancelled: BTreeMap<Id, u64>,
     /// Tasks of which a run ended as done, in any submission.
     done: BTreeSet<Task>,
     /// Index among its job's submissions of the one for which each run was ordered.
@@ -142,6 +148,7 @@
             orders: Vec::new(),
             delayed: Vec::new(),
             jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
             submission_by_run: BTreeMap::new(),
         };
@@ -159,9 +166,7 @@
         match event {
             Event::Advance { ms } => self.advance(u64::from(ms))?,
             Event::Submit { job } => self.submit(job),
-            Event::Cancel { job } => {
-                self.pool.cancel_by_id(&id(job), self.time());
-            }
+            Event::Cancel { job } => self.cancel(job),
             Event::Order { which, delivery } => {
                 if !self.orders.is_empty() {
                     let (_, order) = self.orders.remove(which % self.orders.len());
@@ -247,6 +252,20 @@
         });
     }
 
+    /// Cancels a job for good, or ends it because its caller has disconnected, who may submit it
+    /// again.
+    fn cancel(&mut self, job: u8) {
+        if job.is_multiple_of(CANCELLED_JOBS) {
+            self.pool.cancel_by_id(&id(job), self.time());
+            self.cancelled.insert(id(job), self.now);
+            return;
+        }
+        let submission = self.jobs.get(&job).and_then(|submissions| submissions.last());
+        if let Some(key) = submission.filter(|it| it.outcome.is_none()).and_then(|it| it.key) {
+            self.pool.cancel(key, self.time());
+        }
+    }
+
     fn advance(&mut self, ms: u64) -> Result<(), String> {
         let end = self.now + ms;
         while self.now < end {
@@ -364,6 +383,10 @@
         let Some(request) = submission.map(|submission| submission.request.clone()) else {
             return Err(format!("{task} was never submitted"));
         };
+        let cancelled = self.cancelled.get(&task.job);
+        if cancelled.is_some_and(|at| self.now < at + CANCELLED_MS) {
+            return Err(format!("{task} starts after it was cancelled"));
+        }
         let step = &request.steps[task.step as usize];
         if record.draining {
             return Err(format!("{task} starts on a draining upstream"));
