--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -49,6 +49,8 @@
     /// Number of runs lost with their upstream for each variant of [`LossCause`], in declaration
     /// order.
     loss_counts: [u64; LossCause::ALL.len()],
+    /// Until this instant, no further upstreams are polled because one has stopped.
+    neighbours_polled_until: Time,
     /// Until this instant, polls use [`Options::short_poll_wait`].
     short_polls_until: Time,
     /// Upstreams that a live dispatcher has handed over before they were assigned to this one, with
@@ -267,9 +269,9 @@
         let Some(job) = self.jobs.get(key) else { return false };
         self.suspects.extend(self.quarantine.suspects(&job.request.id, now));
         let blocked = self.quarantine.blocked_task(&job.request.id, now);
-        let blocked = blocked.map(|(task, verdict)| (task.clone(), verdict));
-        let blocked = blocked.or_else(|| Some((job.lost_too_often()?, Verdict::Lost)));
-        let Some((task, verdict)) = blocked else { return false };
+        let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
+            return false;
+        };
         let (crashes, losses) = self.quarantine.counts(&task);
         self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, losses }));
         if verdict == Verdict::Crashing {
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -5,7 +5,6 @@
 
 use super::Pool;
 use crate::clock::Time;
-use crate::pool::job::Id;
 use crate::pool::quarantine::Blame;
 use crate::pool::run::Run;
 use crate::pool::upstream::Upstream;
@@ -18,22 +17,55 @@
 /// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
 /// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
 const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
-/// Least number of other upstreams that stop together with one if the cause is a common one. A job
-/// crashes the upstreams of its own tasks, and two such jobs may do so at the same time.
-const MIN_COMMON_STOPS: usize = 2;
-/// Number of upstreams for each other one that stops if the cause is a common one. The more
-/// upstreams there are, the more unrelated crashes come at the same time. In a smaller pool, all
-/// upstreams have to stop: a few may crash under unrelated jobs.
-const UPSTREAMS_PER_COMMON_STOP: usize = 10;
-/// Replaces [`MIN_COMMON_STOPS`] while tasks are known to crash upstreams. Such tasks are started
-/// again together once the leases have expired of upstreams that crashed together.
-const MIN_COMMON_STOPS_AMID_CRASHES: usize = 4;
-/// Replaces [`UPSTREAMS_PER_COMMON_STOP`] while tasks are known to crash upstreams.
-const UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES: usize = 4;
+/// Numbers of other upstreams that have to stop together with one if the cause is a common one, such
+/// as the power of a rack or the network.
+#[derive(Clone, Copy, Debug)]
+struct CommonStops {
+    /// Least number in a large pool, where unrelated jobs may crash some upstreams at once.
+    least: usize,
+    /// Greatest number, that of a rack.
+    most: usize,
+    /// Number of upstreams for each one of them.
+    upstreams_per_stop: usize,
+}
+
+/// Usual numbers: two jobs that crash their upstreams may do so at the same time.
+const COMMON_STOPS: CommonStops = CommonStops { least: 2, most: 6, upstreams_per_stop: 10 };
+/// Numbers while tasks are known to crash upstreams. Such tasks are started again in step once the
+/// leases of upstreams have expired that crashed together.
+const COMMON_STOPS_AMID_CRASHES: CommonStops =
+    CommonStops { least: 4, most: 12, upstreams_per_stop: 4 };
+/// Number of upstreams below which all of them have to stop: a few unrelated crashes are a large
+/// part of a small pool.
+const SMALL_POOL: usize = 10;
+
+/// Interval between polls of the idle upstreams after one has stopped. They are polled rarely
+/// otherwise, and would hide that many stopped at once.
+const NEIGHBOUR_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of idle upstreams that are polled after one has stopped.
+const MAX_NEIGHBOUR_POLLS: usize = 16;
 
 impl Pool {
-    /// Returns the other upstreams that stopped responding at the same time as this one, and still
-    /// don't respond.
+    /// Polls idle upstreams after one with runs has stopped, so that it is known whether they have
+    /// stopped together with it.
+    pub(super) fn poll_idle_neighbours(&mut self, key: UpstreamKey, now: Time) {
+        let is_first = |upstream: &Upstream| {
+            upstream.unresponsive_since.is_none() && !upstream.runs.is_empty()
+        };
+        if now < self.neighbours_polled_until || !self.upstreams.get(key).is_some_and(is_first) {
+            return;
+        }
+        self.neighbours_polled_until = now + NEIGHBOUR_POLL_INTERVAL;
+        let idle = self.upstreams.iter().filter(|(other, upstream)| {
+            *other != key && upstream.is_usable(now) && upstream.runs.is_empty()
+        });
+        let idle: Vec<UpstreamKey> = idle.map(|(key, _)| key).take(MAX_NEIGHBOUR_POLLS).collect();
+        for key in idle {
+            self.poll_soon(key, now);
+        }
+    }
+
+    /// Returns the other upstreams whose processes stopped responding at the same time as this one.
     fn stopped_with(&self, key: UpstreamKey, cause: LossCause) -> impl Iterator<Item = &Upstream> {
         let stopped_at = self.upstreams.get(key).and_then(|upstream| upstream.stopped_at);
         let span = if cause.is_crash() { CRASH_NOTICE_SPAN } else { SILENCE_NOTICE_SPAN };
@@ -42,7 +74,7 @@
         };
         let others = self.upstreams.iter().filter(move |(other, _)| *other != key);
         let others = others.map(|(_, upstream)| upstream);
-        others.filter(move |upstream| upstream.unresponsive_since.is_some_and(is_close))
+        others.filter(move |upstream| upstream.stopped_at.is_some_and(is_close))
     }
 
     /// Returns how many other upstreams stopped responding at the same time as this one.
@@ -50,20 +82,15 @@
         self.stopped_with(key, cause).count()
     }
 
-    /// Returns how many other upstreams have to stop together with one for a common cause, such as
-    /// the power of a rack or the network.
+    /// Returns how many other upstreams have to stop together with one for a common cause.
     fn min_common_stops(&self, now: Time) -> usize {
-        let (least, upstreams_per_stop) = if self.quarantine.has_convicted(now) {
-            (MIN_COMMON_STOPS_AMID_CRASHES, UPSTREAMS_PER_COMMON_STOP_AMID_CRASHES)
-        } else {
-            (MIN_COMMON_STOPS, UPSTREAMS_PER_COMMON_STOP)
-        };
+        let is_amid_crashes = self.quarantine.has_convicted(now);
+        let stops = if is_amid_crashes { COMMON_STOPS_AMID_CRASHES } else { COMMON_STOPS };
         let known = self.upstreams.len();
-        let others = known.saturating_sub(1).max(1);
-        if known < UPSTREAMS_PER_COMMON_STOP {
-            return others;
+        if known < SMALL_POOL {
+            return known.saturating_sub(1).max(1);
         }
-        known.div_ceil(upstreams_per_stop).max(least)
+        known.div_ceil(stops.upstreams_per_stop).clamp(stops.least, stops.most)
     }
 
     /// Records what a loss says about the tasks of the lost runs, and reports it to the other
@@ -75,18 +102,13 @@
         loss: &Loss,
         now: Time,
     ) {
-        for run in runs.iter().filter_map(|run| self.runs.get(*run)) {
-            if let Some(job) = run.job.and_then(|job| self.jobs.get_mut(job)) {
-                job.steps[run.task.step as usize][run.task.index as usize].losses += 1;
-            }
-        }
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.has_lost_runs = true;
+            upstream.lost_runs_at = Some(now);
         }
         let process = (loss.upstream.clone(), loss.started_ms);
         let lost = runs.iter().filter_map(|run| self.runs.get(*run));
-        let blamed = |run: &Run| Some((run.task.clone(), self.blame(run, loss.cause, now)?));
-        let blamed: Vec<(Task, Blame)> = lost.filter_map(blamed).collect();
+        let blamed = |run: &Run| (run.task.clone(), self.blame(run, loss.cause, now));
+        let blamed: Vec<(Task, Blame)> = lost.map(blamed).collect();
         for blame in Blame::ALL {
             let of_blame = blamed.iter().filter(|(_, other)| *other == blame);
             let tasks: Vec<Task> = of_blame.map(|(task, _)| task.clone()).collect();
@@ -97,27 +119,45 @@
         }
     }
 
-    /// Returns what the loss of a run says about its task; `None` if nothing.
-    fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Option<Blame> {
-        let stops = self.unrelated_stops(run.upstream, cause, &run.task.job);
-        if stops >= self.min_common_stops(now) {
-            return None;
+    /// Returns what the loss of a run says about its task.
+    fn blame(&self, run: &Run, cause: LossCause, now: Time) -> Blame {
+        let is_alone = self
+            .upstreams
+            .get(run.upstream)
+            .is_some_and(|upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty());
+        // A task that was lost in step with others before is judged by a crash under its run alone.
+        let is_test = cause.is_crash() && is_alone && self.quarantine.is_in_step(&run.task);
+        let stops = self.unrelated_stops(run, cause);
+        if !is_test && stops >= self.min_common_stops(now) {
+            return Blame::Common;
         }
         if !cause.is_crash() {
-            return run.seen_running.then_some(Blame::Unknown);
+            return Blame::Unknown;
         }
-        let is_alone =
-            |upstream: &Upstream| upstream.runs.len() == 1 && upstream.foreign.runs.is_empty();
-        let is_only_suspect = !self.quarantine.is_suspect(&run.task, now)
-            || self.upstreams.get(run.upstream).is_some_and(is_alone);
-        let is_proven = run.seen_running && stops == 0 && is_only_suspect;
-        Some(if is_proven { Blame::Crash } else { Blame::Doubtful })
+        let is_only_suspect = is_alone || !self.quarantine.is_suspect(&run.task, now);
+        let is_proven = run.seen_running && is_only_suspect && stops == 0;
+        if is_proven { Blame::Crash } else { Blame::Doubtful }
     }
 
-    /// Returns how many other upstreams stopped at the same time without a run of this job.
-    fn unrelated_stops(&self, key: UpstreamKey, cause: LossCause, job: &Id) -> usize {
-        let others = self.stopped_with(key, cause);
-        others.filter(|upstream| !upstream.stopped_jobs.contains(job)).count()
+    /// Returns how many other upstreams stopped at the same time and are not explained by the job of
+    /// a lost run. The job may have crashed those where its tasks ran, unless some of its tasks are
+    /// done, or go on elsewhere.
+    fn unrelated_stops(&self, run: &Run, cause: LossCause) -> usize {
+        let responds = |key: UpstreamKey| {
+            self.upstreams.get(key).is_some_and(|upstream| upstream.unresponsive_since.is_none())
+        };
+        let goes_on = |run: &RunKey| {
+            self.runs.get(*run).is_some_and(|run| run.seen_running && responds(run.upstream))
+        };
+        let job = run.job.and_then(|job| self.jobs.get(job));
+        let is_harmless = job.is_some_and(|job| {
+            let mut tasks = job.steps.iter().flatten();
+            tasks.any(|task| task.done || task.run.as_ref().is_some_and(goes_on))
+        });
+        let others = self.stopped_with(run.upstream, cause);
+        let is_unrelated =
+            |other: &&Upstream| is_harmless || !other.stopped_jobs.contains(&run.task.job);
+        others.filter(is_unrelated).count()
     }
 
     /// Takes back the loss of an upstream's process, which has answered again, here and at the other
