--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod admission;
+mod cancellations;
 mod durations;
 mod effect;
 mod health;
@@ -29,6 +30,7 @@
 pub mod roster;
 pub mod routing;
 mod run;
+pub mod search;
 mod speed;
 mod task;
 pub mod upstream;
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -202,6 +202,11 @@
             Frame::Losses { losses } => entry.handle_losses(losses, false),
             Frame::DoubtfulLosses { losses } => entry.handle_losses(losses, true),
             Frame::Rosters { rosters } => entry.handle_rosters(host, link_number, rosters),
+            Frame::CancelJob { search, id } => entry.handle_cancel_job(host, search, &id),
+            Frame::CancelAnswer { search, holding } => {
+                entry.handle_cancel_answer(host, search, holding);
+            }
+            Frame::Cancelled { jobs } => entry.handle_cancelled(&jobs),
         }
     }
 }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -39,6 +39,7 @@
             takes_losses,
             takes_doubtful_losses,
             takes_rosters,
+            takes_cancellations,
             ..
         } = hello;
         let record = HostRecord::from(hello);
@@ -70,12 +71,14 @@
             takes_losses,
             takes_doubtful_losses,
             takes_rosters,
+            takes_cancellations,
             dialled,
             // The state and load are unknown until the first heartbeat of the peer.
             has_reported: false,
             is_starting: true,
             leaving: false,
             dispatches_own_centre: false,
+            has_jobs: false,
             load: Load::default(),
             handed_cores: 0.0,
             jobs: BTreeMap::new(),
@@ -84,8 +87,15 @@
             last_handover: None,
             unused_since: None,
         };
+        if takes_cancellations {
+            for frame in self.cancelled_frames() {
+                // The queue of a new link has room.
+                let _ = peer.frames.try_send(frame);
+            }
+        }
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        state.lost_hosts.remove(&host);
         let losses = state.pool.remembered_losses(now);
         if takes_losses {
             for frame in Frame::report_losses(&losses, takes_doubtful_losses) {
@@ -115,7 +125,15 @@
             if state.peers.get(host).map(|peer| peer.link_number) != Some(link) {
                 return;
             }
+            let is_needed = state.peers.get(host).is_some_and(|peer| {
+                let relation =
+                    state.link_relation(&self.record, &peer.record, &self.seeds.borrow());
+                relation.needs_link(state.hosts.len())
+            });
             let Some(peer) = state.peers.remove(host) else { return };
+            if is_needed && !peer.leaving {
+                state.note_lost_host(host, now);
+            }
             state.owners_stale = true;
             let call_numbers: Vec<u64> = state
                 .remote_jobs
@@ -147,7 +165,7 @@
             }
         }
         self.run_effects();
-        self.update_owners();
+        self.wake_owners.notify_one();
     }
 
     /// Records the state and load of a peer. Requests its items if its configuration is of a newer
@@ -174,6 +192,7 @@
         peer.is_starting = heartbeat.is_starting;
         peer.leaving = heartbeat.leaving;
         peer.dispatches_own_centre = heartbeat.dispatches;
+        peer.has_jobs = heartbeat.has_jobs;
         peer.load = heartbeat.load();
         // Counts only the jobs that were handed to the peer since this heartbeat.
         peer.handed_cores = 0.0;
@@ -192,8 +211,7 @@
         }
         if changed {
             state.owners_stale = true;
-            drop(state);
-            self.update_owners();
+            self.wake_owners.notify_one();
         }
     }
 
