--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -4,7 +4,7 @@
 use crate::pool::order::Rank;
 use crate::pool::placement::Choice;
 use crate::pool::run::{Run, RunState};
-use crate::pool::upstream::Upstream;
+use crate::pool::upstream::{SLOW_CLOCK_FACTOR, Upstream};
 use crate::pool::{Decision, Effect, JobKey, Task, UpstreamKey};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -138,7 +138,7 @@
     }
 
     /// Orders the start of a run. Returns false without a reading of the upstream's clock, as the
-    /// order has to contain the end of the lease.
+    /// order has to contain the end of the lease, and while a newer list is awaited.
     pub(super) fn start_run(
         &mut self,
         key: JobKey,
@@ -148,7 +148,11 @@
         expected: Duration,
         now: Time,
     ) -> bool {
+        if self.awaits_list(upstream_key, now) {
+            return false;
+        }
         let lease = self.options.lease;
+        let max_sharing_time = lease.mul_f64(SLOW_CLOCK_FACTOR) + self.max_sharing_time();
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else { return false };
         let Some(lease_end_ms) = upstream.renew_lease(lease, now) else { return false };
         let Some(job) = self.jobs.get_mut(key) else { return false };
@@ -159,6 +163,8 @@
         let needs = job.request.steps[step_index].needs;
         let task = job.task(step_index, task_index);
         let task_state = &mut job.steps[step_index][task_index];
+        let is_shared =
+            !upstream.foreign.runs.is_empty() || self.rosters.has_any(&upstream.record.name);
         let run = self.runs.insert(Run {
             task: task.clone(),
             number,
@@ -173,6 +179,7 @@
             poll_for_end: false,
             seen_running: false,
             competitor_may_renew: self.has_competitors,
+            shared_until: if is_shared { now + max_sharing_time } else { Time::ZERO },
             unanswered_stops: 0,
             percent: 0,
             progressed_at: now,
--- a/crates/heathertrackd/src/entry/frame.rs
+++ b/crates/heathertrackd/src/entry/frame.rs
@@ -5,7 +5,7 @@
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::search::Holding;
-use heathertrack::pool::{Load, Loss, LossCause, Task};
+use heathertrack::pool::{Load, Loss, LossCause, Roster, Task};
 use heathertrack_platform::{HostRecord, Item};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
@@ -65,6 +65,10 @@
     /// Reports losses that others than these tasks may have caused. Sent only to hosts with
     /// [`Hello::takes_doubtful_losses`].
     DoubtfulLosses { losses: Vec<LossWire> },
+    /// Names the sender's runs on upstreams that it no longer owns, to their owner. Each entry
+    /// replaces the former one for the same upstream. Sent only to hosts with
+    /// [`Hello::takes_rosters`], in place of [`Frame::Handover`].
+    Rosters { rosters: Vec<RosterWire> },
     /// Cancels a job by its identifier, and asks whether the receiver held it. Sent only to hosts
     /// with [`Hello::takes_cancellations`], as are the following messages.
     CancelJob {
@@ -108,6 +112,9 @@
     /// field.
     #[serde(deserialize_with = "or_default")]
     pub takes_doubtful_losses: bool,
+    /// Whether the sender understands [`Frame::Rosters`]. Earlier releases don't send this field.
+    #[serde(deserialize_with = "or_default")]
+    pub takes_rosters: bool,
     /// Whether the sender understands [`Frame::CancelJob`], [`Frame::CancelAnswer`],
     /// [`Frame::Cancelled`] and [`OutcomeWire::Cancelled`]. Earlier releases don't send this field.
     #[serde(deserialize_with = "or_default")]
@@ -252,6 +259,14 @@
     pub index: u32,
 }
 
+/// [`Roster`].
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct RosterWire {
+    pub upstream: String,
+    /// Tasks and the numbers of their runs.
+    pub runs: Vec<(TaskWire, u32)>,
+}
+
 /// Item of the store; it has no value if it was removed.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct ItemWire {
@@ -277,6 +292,7 @@
             takes_handovers: true,
             takes_losses: true,
             takes_doubtful_losses: true,
+            takes_rosters: true,
             takes_cancellations: true,
         }
     }
@@ -527,6 +543,22 @@
     }
 }
 
+impl From<&Roster> for RosterWire {
+    fn from(roster: &Roster) -> Self {
+        let run = |(task, number): &(Task, u32)| (TaskWire::from(task), *number);
+        let runs = roster.runs.iter().map(run).collect();
+        RosterWire { upstream: roster.upstream.to_string(), runs }
+    }
+}
+
+impl From<RosterWire> for Roster {
+    fn from(wire: RosterWire) -> Self {
+        let run = |(task, number): (TaskWire, u32)| (task.into(), number);
+        let runs = wire.runs.into_iter().map(run).collect();
+        Roster { upstream: Upstream::new(wire.upstream), runs }
+    }
+}
+
 impl From<LossCause> for CauseWire {
     fn from(cause: LossCause) -> Self {
         match cause {
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -61,7 +61,7 @@
     let host = Host::new(hello.name.clone());
     let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
     let Some(link_number) = entry.add_peer(hello, dialled, frames) else { return };
-    let why = link.serve(&host, queue).await;
+    let why = link.serve(&host, link_number, queue).await;
     entry.remove_peer(&host, link_number, why);
 }
 
@@ -121,7 +121,12 @@
     }
 
     /// Sends and receives messages until the link ends. Returns the reason for its end.
-    async fn serve(&mut self, host: &Host, mut queue: mpsc::Receiver<Frame>) -> &'static str {
+    async fn serve(
+        &mut self,
+        host: &Host,
+        link_number: u64,
+        mut queue: mpsc::Receiver<Frame>,
+    ) -> &'static str {
         let mut last_received = Instant::now();
         let mut silence_timeout = links::heartbeat_timeout(FAST_HEARTBEAT_PERIOD);
         let first = Frame::Heartbeat(self.entry.heartbeat().with_period(FAST_HEARTBEAT_PERIOD));
@@ -140,7 +145,7 @@
                     if let Frame::Heartbeat(heartbeat) = &frame {
                         silence_timeout = links::heartbeat_timeout(heartbeat.period());
                     }
-                    self.handle(host, frame, transit_time);
+                    self.handle(host, link_number, frame, transit_time);
                 }
                 frame = queue.recv() => {
                     // The queue is closed when the peer is removed from the state.
@@ -173,7 +178,7 @@
         self.send(frame).await
     }
 
-    fn handle(&self, host: &Host, frame: Frame, transit_time: Duration) {
+    fn handle(&self, host: &Host, link_number: u64, frame: Frame, transit_time: Duration) {
         let entry = &self.entry;
         match frame {
             // Only the first message of a link identifies the peer.
@@ -196,6 +201,7 @@
             Frame::Handover { upstreams } => entry.handle_handover(upstreams),
             Frame::Losses { losses } => entry.handle_losses(losses, false),
             Frame::DoubtfulLosses { losses } => entry.handle_losses(losses, true),
+            Frame::Rosters { rosters } => entry.handle_rosters(host, link_number, rosters),
             Frame::CancelJob { search, id } => entry.handle_cancel_job(host, search, &id),
             Frame::CancelAnswer { search, holding } => {
                 entry.handle_cancel_answer(host, search, holding);
