Test spans and leases that decide whether an upstream crashed

A trial with changed lines showed that nothing tested the end of the lease in Upstream::replacement_cause, nor that upstreams found silent over some 250 ms count as stopped together. With a span of 30 ms the second test fails; with the comparison of the lease left out, the first one does.

--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -1,13 +1,13 @@
 //! Which tasks count as the cause when upstreams are lost under them.
 
 use super::{
-    OWNED, SIXTEEN, Started, at, listing, outcome, patient_job, polls, pool, record, reports,
-    starts,
+    OWNED, SIXTEEN, Started, at, listing, losses, outcome, patient_job, polls, pool, record,
+    reports, starts,
 };
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, Listing, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
+    Effect, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
 };
 use std::collections::BTreeSet;
 
@@ -503,3 +503,38 @@
         pool.tick(at(ms + 720));
     }
 }
+
+/// Another host may have renewed the lease, so that the run is followed beyond its own one.
+#[test]
+fn a_replaced_process_has_crashed_only_within_the_lease_of_its_runs() {
+    for (ms, cause) in [(400, LossCause::Replaced), (2_000, LossCause::Unresponsive)] {
+        let mut pool = pool(&["u1"]);
+        pool.set_has_competitors(true);
+        pool.submit(patient_job("j"), at(100));
+        let started = starts(&pool.take_effects());
+        begin(&mut pool, &started, 101);
+
+        restart(&mut pool, &started, ms);
+
+        assert_eq!(losses(&pool.take_effects()), [(cause, 1)]);
+    }
+}
+
+#[test]
+fn upstreams_that_are_found_silent_one_after_another_blame_no_task() {
+    let mut pool = pool(&SIXTEEN);
+    submit_fourteen(&mut pool);
+
+    for round in 0..4 {
+        let ms = 110 + round * 2 * ROUND_MS;
+        let effects = pool.take_effects();
+        assert_eq!(outcomes(&effects), [], "round {round}");
+        let started = starts(&effects);
+        begin(&mut pool, &started, ms - 1);
+        for (index, upstream) in upstreams_of(&started).into_iter().enumerate() {
+            pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(ms + 40 * index as u64));
+        }
+        pool.tick(at(ms + ROUND_MS));
+        restart(&mut pool, &started, ms + ROUND_MS + 10);
+    }
+}
