--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -17,6 +17,7 @@
 /// Time within which upstreams that fall silent at one instant are noticed: a poll waits up to
 /// 300 ms ([`crate::pool::Options::poll_wait`]), and then for its answer.
 const SILENCE_NOTICE_SPAN: Duration = Duration::from_millis(400);
+
 /// Numbers of other upstreams that have to stop together with one if the cause is a common one, such
 /// as the power of a rack or the network.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +36,7 @@
 /// leases of upstreams have expired that crashed together.
 const COMMON_STOPS_AMID_CRASHES: CommonStops =
     CommonStops { least: 4, most: 12, upstreams_per_stop: 4 };
-/// Number of upstreams below which all of them have to stop: a few unrelated crashes are a large
+/// Number of known upstreams below which all of them have to stop: unrelated crashes may hit a large
 /// part of a small pool.
 const SMALL_POOL: usize = 10;
 
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -13,7 +13,7 @@
 /// Number of upstreams that may crash under a task. After the first crash, any run on the upstream
 /// may have caused it; the users let a job be given up after the second one.
 const MAX_CRASHES: usize = 2;
-/// Number of upstreams that may be lost under a task for any cause. A crash without a closed
+/// Number of upstreams that may be lost under a task that is blamed for it. A crash without a closed
 /// connection can't be told from a partition.
 const MAX_LOSSES: usize = 3;
 /// Number of common losses of a task after which it runs alone, and is not started again after a loss
@@ -36,9 +36,9 @@
 /// What the loss of an upstream says about a task that was ordered from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Blame {
-    /// None: the upstream stopped together with others.
+    /// Nothing: the upstream stopped together with others.
     Common,
-    /// Nothing is known of the upstream.
+    /// It may be the cause, but the upstream may as well be suspended or partitioned.
     Unknown,
     /// The upstream crashed, but the run may not have begun, another one ran beside this suspect, or
     /// another upstream crashed at the same time.
