End jobs whose dispatcher has no upstreams left

Change: once no upstream has been assigned to a dispatcher for 0.3 s, jobs with queued tasks end: "not run" if none of their tasks was started, so that the entry host offers them to another dispatcher, and "may have run" otherwise, so that callers send them again. Jobs whose runs all go on are followed to their end as before.

Evidence: a_job_that_lost_its_runs_does_not_wait_for_its_deadline_without_upstreams and a_queued_job_does_not_wait_where_no_upstreams_are_left fail without the call of `end_stranded_jobs`.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -63,6 +63,8 @@
     has_stale_rosters: bool,
     /// Until this instant, a host that was lost may have left runs that no list has shown yet.
     doubt_until: Time,
+    /// Since when no upstream is assigned to this dispatcher, if none is.
+    unassigned_since: Option<Time>,
     /// Whether a competing dispatcher may use the same upstreams.
     has_competitors: bool,
     /// Sequence number of the last submitted job.
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -1,5 +1,6 @@
 use super::Pool;
 use crate::clock::Time;
+use crate::pool::job::Job;
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::{Ownership, Upstream};
 use crate::pool::{JobKey, LossCause, RunEnd, RunKey, UpstreamKey};
@@ -14,6 +15,10 @@
 /// and 600 ms.
 const MIN_STALL: Duration = Duration::from_millis(600);
 
+/// Time for which a dispatcher may be without upstreams while hosts that come and go settle on a new
+/// assignment.
+const MAX_UNASSIGNED_TIME: Duration = Duration::from_millis(300);
+
 /// Number of runs of one task that may stall before its job is given up. Runs on an upstream that
 /// stalls all its runs say nothing about the task, and another such upstream may follow.
 const MAX_STALLS: u32 = 3;
@@ -24,6 +29,7 @@
     pub fn tick(&mut self, now: Time) {
         self.end_overdue_jobs(now);
         self.end_expired_runs(now);
+        self.end_stranded_jobs(now);
         self.poll_for_stopped(now);
         self.stop_stalled_runs(now);
         self.upstreams.values_mut().for_each(|upstream| upstream.restore_capacity(now));
@@ -55,6 +61,32 @@
         }
     }
 
+    /// Ends jobs with queued tasks once all upstreams have passed to other dispatchers: another one
+    /// can run them. Jobs whose runs all go on are followed to their end.
+    fn end_stranded_jobs(&mut self, now: Time) {
+        let is_assigned = |upstream: &Upstream| upstream.ownership != Ownership::Released;
+        if self.jobs.is_empty() || self.upstreams.values().any(is_assigned) {
+            self.unassigned_since = None;
+            return;
+        }
+        let since = *self.unassigned_since.get_or_insert(now);
+        if now.since(since) < MAX_UNASSIGNED_TIME {
+            return;
+        }
+        let is_queued = |(_, job): &(JobKey, &Job)| job.startable().next().is_some();
+        let stranded: Vec<JobKey> =
+            self.jobs.iter().filter(is_queued).map(|(key, _)| key).collect();
+        for key in stranded {
+            let Some(job) = self.jobs.get(key) else { continue };
+            if job.has_started || job.has_ended_run {
+                self.give_up(key, "its upstreams have passed to another dispatcher", now);
+            } else {
+                let why = "the upstreams have passed to another dispatcher";
+                self.refuse(key, why, Duration::ZERO, now);
+            }
+        }
+    }
+
     /// Ends runs whose lease has expired for certain. Where a competing dispatcher may have renewed
     /// it, only the upstream's lists or the loss of its record show that a run is over.
     fn end_expired_runs(&mut self, now: Time) {
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -6,8 +6,8 @@
 use heathertrack::pool::job::{Id, Needs, Outcome, Request, Step};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, Listing, Options, PollFailure, Pool, Roster, RunKey, RunningRun, StartAnswer, Task,
-    UpstreamKey,
+    Effect, EndedRun, Listing, Options, PollFailure, Pool, Roster, RunEnd, RunKey, RunningRun,
+    StartAnswer, Task, UpstreamKey,
 };
 use std::time::Duration;
 
@@ -183,6 +183,81 @@
     assert!(renews(&after));
 }
 
+/// Returns the outcomes of jobs among the effects.
+fn outcomes(effects: &[Effect]) -> Vec<Outcome> {
+    let outcome = |effect: &Effect| match effect {
+        Effect::Finish { outcome, .. } => Some(outcome.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(outcome).collect()
+}
+
+/// Ticks a dispatcher every 25 ms, and returns the outcomes of its jobs.
+fn tick(pool: &mut Pool, from_ms: u64, to_ms: u64) -> Vec<Outcome> {
+    for ms in (from_ms..to_ms).step_by(25) {
+        pool.tick(at(ms));
+    }
+    outcomes(&pool.take_effects())
+}
+
+/// Its upstreams have passed to another host, and nothing can be started here any more.
+#[test]
+fn a_job_that_lost_its_runs_does_not_wait_for_its_deadline_without_upstreams() {
+    let mut fixture = running(&["u1"]);
+    let end = EndedRun {
+        sequence: 1,
+        task: Some(fixture.row.task.clone()),
+        number: fixture.row.number,
+        how: RunEnd::Expired,
+    };
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let running = tick(&mut fixture.pool, 125, 1_000);
+
+    let listing = Listing { ended: vec![end], ..list(&[], 1_000) };
+    fixture.pool.on_poll_answer(fixture.upstream, &listing, at(999), at(1_000));
+    let lost = tick(&mut fixture.pool, 1_025, 2_000);
+
+    assert!(running.is_empty(), "its run goes on");
+    assert!(matches!(lost[..], [Outcome::MayHaveRun(_)]), "{lost:?}");
+}
+
+#[test]
+fn a_queued_job_does_not_wait_where_no_upstreams_are_left() {
+    let mut fixture = running(&["u1"]);
+    let wide = Request { id: Id::new("queued"), ..job("queued") };
+    let needs = Needs { cpu: 16_000, ..wide.steps[0].needs };
+    let steps = vec![Step { needs, ..wide.steps[0].clone() }];
+    fixture.pool.submit(Request { steps, ..wide }, at(105));
+    let queued = outcomes(&fixture.pool.take_effects());
+
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let released = tick(&mut fixture.pool, 125, 1_000);
+
+    assert!(queued.is_empty());
+    assert!(matches!(released[..], [Outcome::NotRun { .. }]), "{released:?}");
+}
+
+#[test]
+fn upstreams_that_return_at_once_end_no_queued_job() {
+    let mut fixture = running(&["u1"]);
+    let end = EndedRun {
+        sequence: 1,
+        task: Some(fixture.row.task.clone()),
+        number: fixture.row.number,
+        how: RunEnd::Expired,
+    };
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let listing = Listing { ended: vec![end], ..list(&[], 120) };
+    fixture.pool.on_poll_answer(fixture.upstream, &listing, at(115), at(120));
+    let released = tick(&mut fixture.pool, 125, 300);
+
+    fixture.pool.update_upstream(record("u1"), OWNED, at(300));
+    let returned = tick(&mut fixture.pool, 325, 1_000);
+
+    assert!(released.is_empty(), "{released:?}");
+    assert!(returned.is_empty(), "{returned:?}");
+}
+
 /// The next owner renews its leases.
 #[test]
 fn a_leaving_host_takes_no_run_for_over_because_its_own_lease_has_expired() {
@@ -319,11 +394,11 @@
 fn an_older_list_that_arrives_late_bars_no_upstream() {
     let mut fixture = running(&["u1"]);
     let row = fixture.row.clone();
-    let end = heathertrack::pool::EndedRun {
+    let end = EndedRun {
         sequence: 1,
         task: Some(row.task.clone()),
         number: row.number,
-        how: heathertrack::pool::RunEnd::Done,
+        how: RunEnd::Done,
     };
     let newer = Listing { ended: vec![end], ..list(&[], 200) };
     fixture.pool.on_poll_answer(fixture.upstream, &newer, at(150), at(201));
