Don't blame tasks for upstreams that stall all runs

What callers would see: a job is given up, "a task stalls wherever it runs", although its task is sound, after it was placed on three upstreams one after another on which all runs stand still. The second and third of these upstreams stay in use, as only a task's first stall ejects one.

Cause: each stalled run counted against its task, whatever else the upstream showed.

Change: a stall doesn't count against the task if all runs of other jobs on the upstream, old enough to show progress, stand still as well. Such an upstream is ejected, however often the task has stalled before. Where no other job runs, nothing tells the two apart, and three stalls still give the job up.

Evidence: no_job_is_given_up_for_upstreams_that_stall_all_their_runs without the change: 4 runs and 1 ejection instead of 12 and 6, as both jobs are given up. a_task_that_stalls_wherever_it_runs_does_not_eject_upstream_after_upstream passes before and after.

--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -19,8 +19,8 @@
 /// assignment.
 const MAX_UNASSIGNED_TIME: Duration = Duration::from_millis(300);
 
-/// Number of runs of one task that may stall before its job is given up. Runs on an upstream that
-/// stalls all its runs say nothing about the task, and another such upstream may follow.
+/// Number of runs of one task that may stall before its job is given up. An upstream that stalls all its
+/// runs may have had no other one that would show it, and another such upstream may follow.
 const MAX_STALLS: u32 = 3;
 
 impl Pool {
@@ -138,7 +138,8 @@
         for key in keys {
             let Some(run) = self.runs.get(key) else { continue };
             let (upstream_key, job_key) = (run.upstream, run.job);
-            let stalls = self.count_stall(key);
+            let stalls_others = self.stalls_other_jobs(key, now);
+            let stalls = if stalls_others { 0 } else { self.count_stall(key) };
             // A task that stalls on one upstream after another is itself the cause.
             if stalls <= 1
                 && let Some(upstream) = self.upstreams.get_mut(upstream_key)
@@ -153,6 +154,19 @@
         }
     }
 
+    /// Returns whether the upstream of a stalled run stalls the runs of other jobs as well, so that the
+    /// run says nothing about its task. Runs that have just started show nothing.
+    fn stalls_other_jobs(&self, key: RunKey, now: Time) -> bool {
+        let Some(stalled) = self.runs.get(key) else { return false };
+        let Some(upstream) = self.upstreams.get(stalled.upstream) else { return false };
+        let others = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
+        let mut others = others
+            .filter(|run| run.task.job != stalled.task.job)
+            .filter(|run| now.since(run.ordered_at) > MIN_STALL)
+            .peekable();
+        others.peek().is_some() && others.all(|run| now.since(run.progressed_at) > MIN_STALL)
+    }
+
     /// Counts a stalled run of a task, and returns how many of its runs have stalled.
     fn count_stall(&mut self, key: RunKey) -> u32 {
         let Some(run) = self.runs.get(key) else { return 0 };
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -1017,6 +1017,64 @@
     assert!(matches!(ended, Some(Outcome::MayHaveRun(_))), "{ended:?}");
 }
 
+/// Starts two jobs of one task and lets all their runs stall, on one upstream after another. Returns the
+/// number of runs, the ejections, and the outcomes of the jobs.
+fn stall_two_jobs_everywhere() -> (usize, usize, Vec<Outcome>) {
+    let names = ["u1", "u2", "u3", "u4", "u5", "u6"];
+    let mut pool = Pool::new(Options::default());
+    let (mut runs, mut ejected, mut outcomes) = (0, 0, Vec::new());
+    for (round, name) in names.iter().enumerate() {
+        // The jobs run beside each other on the only upstream that is not ejected.
+        let from = 100 + round as u64 * 1_500;
+        pool.update_upstream(record(name), true, at(from));
+        for upstream in polls(&pool.take_effects()) {
+            pool.on_poll_answer(upstream, &listing(vec![], vec![]), at(from), at(from));
+        }
+        if round == 0 {
+            pool.submit(patient_job("one"), at(from));
+            pool.submit(patient_job("other"), at(from));
+        }
+        let started = starts(&pool.take_effects());
+        runs += started.len();
+        let Some((upstream, ..)) = started.first().cloned() else { break };
+        let rows = started.iter().map(|(_, _, task, number)| RunningRun {
+            task: task.clone(),
+            number: *number,
+            percent: 0,
+        });
+        let rows: Vec<RunningRun> = rows.collect();
+        for (_, run, ..) in &started {
+            pool.on_start_answer(*run, StartAnswer::Running, Some(5_000), at(from));
+        }
+        for ms in (from + 100..from + 900).step_by(300) {
+            pool.on_poll_answer(upstream, &listing(rows.clone(), vec![]), at(ms), at(ms));
+            pool.tick(at(ms));
+        }
+        pool.tick(at(from + 1_000));
+        let answered = at(from + 1_100);
+        let stalled = pool.take_effects();
+        let is_ejection = |text: &&&str| **text == "ejected after stalled runs";
+        ejected += upstream_states(&stalled).iter().filter(is_ejection).count();
+        outcomes.extend(outcome(&stalled));
+        let stopped = started
+            .iter()
+            .zip(1..)
+            .map(|((_, _, task, number), sequence)| end(sequence, task, *number, RunEnd::Stopped));
+        let stopped = listing(vec![], stopped.collect());
+        pool.on_poll_answer(upstream, &stopped, answered, answered);
+        pool.update_upstream(record(name), false, answered);
+    }
+    (runs, ejected, outcomes)
+}
+
+#[test]
+fn no_job_is_given_up_for_upstreams_that_stall_all_their_runs() {
+    let (runs, ejected, outcomes) = stall_two_jobs_everywhere();
+
+    assert_eq!((runs, ejected), (12, 6));
+    assert!(outcomes.is_empty(), "{outcomes:?}");
+}
+
 #[test]
 fn an_upstream_that_does_not_respond_is_not_taken_for_one_that_stalls_its_runs() {
     let (mut pool, (upstream, ..)) = running(&["u1", "u2"]);
