Don't deny a route by an outdated configuration

Cause: a host answered by the configuration that it had, whatever its age. A host that was suspended answers what waits in its sockets before it reads the store; one that is starved or cut off from the store goes on for as long as that lasts.

Change: a host knows until when the store has confirmed its configuration, by the time at which it asked. Without an answer a request without a route gets 503 with Retry-After instead of 404; known routes are served on.

Why it works: an answer 404 now rests on a reading of the store that is younger than the bound, so a route that has to be in force is in it.

Logs tell the causes apart: `configuration_outdated` with the ages of the last confirmation and of the last failure of the store, `request_refused` with `configuration_age_ms`, beside `resumed`.

--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -42,6 +42,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
 /// Grace period of a graceful shutdown.
 const STOP_GRACE: Duration = Duration::from_secs(6);
+/// Time within which a configuration must be in force.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(2);
 /// Number of starts of a task, after three upstreams were lost under it, that breaks the users' rule
 /// BUDGET.
 const MAX_STARTS_AFTER_THIRD_LOSS: usize = 3;
@@ -195,6 +197,7 @@
             seeds: Vec::new(),
             cpu_share: site.cpu_shares[host % site.cpu_shares.len()],
             grace: STOP_GRACE,
+            configuration_time: CONFIGURATION_TIME,
         };
         let (network, fleet) = (self.network.clone(), self.fleet.clone());
         let environment = EmulatedEnvironment {
--- a/crates/heathertrack_platform/src/host_settings.rs
+++ b/crates/heathertrack_platform/src/host_settings.rs
@@ -25,4 +25,6 @@
     pub cpu_share: f64,
     /// Time between the signal of a planned stop and the end of the process.
     pub grace: Duration,
+    /// Time after the acknowledgement of a configuration within which it must be in force.
+    pub configuration_time: Duration,
 }
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -1,5 +1,6 @@
 //! HTTP server for callers' requests.
 
+use super::boot_clock::Clock;
 use super::cancel::Cancelling;
 use super::event_log::ms;
 use super::metrics;
@@ -13,7 +14,7 @@
 use heathertrack_platform::{CallerProtocol, JobRequest, Submission};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::header::{self, CONNECTION, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -39,8 +40,9 @@
 /// Time that a request waits for the first configuration. A host listens before it has read the
 /// store, which takes a few milliseconds if the store answers.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(100);
-/// Retry-after time while no configuration is in force, in seconds.
-const NO_CONFIGURATION_RETRY_AFTER_S: u64 = 1;
+/// Retry-after time while no configuration is in force, and of a request without a route while the
+/// configuration is outdated.
+const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -116,17 +118,20 @@
         received: Time,
     ) -> Response<String> {
         let Some(table) = self.wait_for_configuration().await else {
-            let mut response =
-                self.refuse(head, StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", 0);
-            response
-                .headers_mut()
-                .insert(hyper::header::RETRY_AFTER, NO_CONFIGURATION_RETRY_AFTER_S.into());
-            return response;
+            return self.refuse_for_now(head, "no configuration yet", 0, CONFIGURATION_RETRY_AFTER);
         };
+        let is_current = self.has_current_configuration().await;
+        // A newer configuration may have arrived meanwhile.
+        let table = self.state.borrow().table.clone().unwrap_or(table);
         let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let version = table.version;
         let Some(route) = table.find(host, head.uri.path()) else {
-            return self.refuse(head, StatusCode::NOT_FOUND, "no route", version);
+            if is_current {
+                return self.refuse(head, StatusCode::NOT_FOUND, "no route", version);
+            }
+            // A newer configuration may have the route.
+            let why = "no route in an outdated configuration";
+            return self.refuse_for_now(head, why, version, CONFIGURATION_RETRY_AFTER);
         };
         match self.environment.caller_protocol().parse_request(head, &route.prefix) {
             Err(status) => self.refuse(head, status, "not a request of this route", version),
@@ -168,10 +173,25 @@
         version: u64,
     ) -> Response<String> {
         metrics::request_refused(status.as_u16());
-        self.event_log.request_refused(head.uri.path(), status.as_u16(), why, version);
+        let now = self.environment.clock().now();
+        let age = self.state.borrow().confirmation.age(now);
+        self.event_log.request_refused(head.uri.path(), status.as_u16(), why, version, age);
         self.environment.caller_protocol().error_response(status, why)
     }
 
+    /// Refuses a request that may succeed after some seconds.
+    fn refuse_for_now(
+        &self,
+        head: &Parts,
+        why: &str,
+        version: u64,
+        retry_after: Duration,
+    ) -> Response<String> {
+        let mut response = self.refuse(head, StatusCode::SERVICE_UNAVAILABLE, why, version);
+        response.headers_mut().insert(header::RETRY_AFTER, retry_after.as_secs().into());
+        response
+    }
+
     /// Returns the number of queued jobs: those of the service on this host, and those of all
     /// services on its peers, as heartbeats carry no number for each service.
     fn queued_jobs(&self, service: &str) -> usize {
@@ -209,11 +229,7 @@
                 self.refuse(head, StatusCode::GONE, answer, version)
             }
             Cancelling::Undecided(_) | Cancelling::Refused(_) => {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                let mut response = self.refuse(head, status, answer, version);
-                let retry_after = CANCEL_RETRY_AFTER.as_secs().into();
-                response.headers_mut().insert(hyper::header::RETRY_AFTER, retry_after);
-                response
+                self.refuse_for_now(head, answer, version, CANCEL_RETRY_AFTER)
             }
         }
     }
@@ -263,7 +279,8 @@
         if !self.has_time_for(&job) {
             let why = "this host stops before the job could be done";
             let outcome = Outcome::NotRun { retry_after: RETRY_AFTER, why };
-            self.event_log.request_refused(job.id.as_str(), 503, why, version);
+            let age = self.state.borrow().confirmation.age(self.now());
+            self.event_log.request_refused(job.id.as_str(), 503, why, version, age);
             return self.environment.caller_protocol().outcome_response(&outcome);
         }
         self.run(job, version).await
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -271,12 +271,39 @@
         self.write("look_failed", fields);
     }
 
-    /// Logs a request that was answered without running a job.
-    pub fn request_refused(&self, id: &str, status: u16, why: &str, version: u64) {
-        let fields = json!({ "id": id, "status": status, "why": why, "version": version });
+    /// Logs a request that was answered without running a job. `configuration_age` is the time since
+    /// the store last confirmed the configuration.
+    pub fn request_refused(
+        &self,
+        id: &str,
+        status: u16,
+        why: &str,
+        version: u64,
+        configuration_age: Option<Duration>,
+    ) {
+        let fields = json!({
+            "id": id, "status": status, "why": why, "version": version,
+            "configuration_age_ms": configuration_age.map(ms),
+        });
         self.write("request_refused", fields);
     }
 
+    /// Logs that a request has found the configuration outdated: the store last confirmed it `age`
+    /// ago, and last failed `failure_age` ago.
+    pub fn configuration_outdated(
+        &self,
+        version: u64,
+        age: Option<Duration>,
+        failure_age: Option<Duration>,
+        live_peers: usize,
+    ) {
+        let fields = json!({
+            "version": version, "age_ms": age.map(ms), "store_failure_age_ms": failure_age.map(ms),
+            "live_peers": live_peers,
+        });
+        self.write("configuration_outdated", fields);
+    }
+
     /// Logs the answer to a caller who cancels a job. `undecided` are the hosts that may run the job
     /// and gave no clear answer.
     pub fn cancel_answered(
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -1,8 +1,10 @@
 //! Reads changes of the platform's store, and renews the record of this host there.
 
+use super::boot_clock::Clock;
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use heathertrack::clock::Time;
+use heathertrack::membership::Standing;
 use heathertrack::membership::depth::{MirrorScope, full_read_period};
 use heathertrack_platform::{
     Changes, DecodedItem, Item, KeyKind, MetadataStore, Registration, WatchError,
@@ -57,6 +59,27 @@
     Configuration,
 }
 
+/// Result of a read of the store.
+struct Read {
+    changes: Changes,
+    /// Time until which no newer configuration than those in `changes` was acknowledged; `None` if
+    /// the answer may lack some.
+    covers_until: Option<Time>,
+}
+
+/// Returns whether an answer holds so many changes that the store may have more.
+fn is_full(changes: &Changes) -> bool {
+    changes.items.len() >= FULL_ANSWER_CHANGES
+}
+
+/// Reads the configuration apart from the task that follows the store, which may be pausing. If that
+/// fails, the task finds the same in its next call.
+async fn ask_for_configuration<E: Environment>(entry: Rc<EntryHost<E>>) {
+    if let Err(WatchError::Compacted) = entry.read_configuration(Duration::ZERO).await {
+        entry.wake_follower.notify_one();
+    }
+}
+
 async fn follow<E: Environment>(entry: Rc<EntryHost<E>>) {
     let mut is_store_answering = true;
     let mut has_failed = false;
@@ -73,7 +96,7 @@
         };
         has_failed = result.is_err();
         match result {
-            Ok(changes) => {
+            Ok(Read { changes, covers_until }) => {
                 metrics::store_called(true);
                 if !is_store_answering {
                     entry.event_log.store_changed(true, "", changes.revision);
@@ -83,9 +106,11 @@
                 if scope == ReadScope::All {
                     last_full_read = Some(now);
                 }
-                let is_behind =
-                    scope == ReadScope::Changes && changes.items.len() >= FULL_ANSWER_CHANGES;
+                let is_behind = scope == ReadScope::Changes && is_full(&changes);
                 entry.apply_read(scope, changes, now);
+                if let Some(at) = covers_until {
+                    entry.confirm_configuration(at);
+                }
                 if is_behind {
                     continue;
                 }
@@ -169,7 +194,7 @@
         self: &Rc<Self>,
         scope: ReadScope,
         last_full_read: Option<Time>,
-    ) -> Result<Changes, WatchError> {
+    ) -> Result<Read, WatchError> {
         let follow_configuration = async {
             if !matches!(scope, ReadScope::All | ReadScope::Changes) {
                 return;
@@ -195,7 +220,9 @@
     async fn read_configuration(self: &Rc<Self>, wait: Duration) -> Result<(), WatchError> {
         let revision = self.state.borrow().configuration_revision;
         let store = self.environment.metadata_store();
-        let mut changes = store.watch_configuration(revision, wait).await?;
+        let asked = self.environment.clock().now();
+        let changes = store.watch_configuration(revision, wait).await?;
+        let Read { mut changes, covers_until } = self.watched(changes, asked, wait);
         metrics::store_called(true);
         {
             let mut state = self.state.borrow_mut();
@@ -204,26 +231,88 @@
         // Other items may have changed up to that revision.
         changes.revision = 0;
         self.apply_changes(changes, false);
+        if let Some(at) = covers_until {
+            self.confirm_configuration(at);
+        }
         Ok(())
     }
 
+    /// Records that the configuration in force was the newest one at a time, and wakes the requests
+    /// that wait for that.
+    fn confirm_configuration(&self, at: Time) {
+        self.state.borrow_mut().confirmation.confirm(at);
+        self.configuration_arrived.notify_waiters();
+    }
+
+    /// Returns whether the configuration in force may be taken for the newest one. If the store
+    /// hasn't confirmed it for too long, asks the store and waits for a moment.
+    pub(super) async fn has_current_configuration(self: &Rc<Self>) -> bool {
+        loop {
+            let answered = self.configuration_arrived.notified();
+            let now = self.now();
+            let standing = self.state.borrow_mut().confirmation.check(now);
+            match standing {
+                Standing::Current => return true,
+                Standing::Outdated => return false,
+                Standing::Wait(until) => {
+                    // The standing is looked up whether the store answered or the time is over.
+                    let _ = timeout(until.since(now), answered).await;
+                }
+                Standing::Ask => {
+                    self.log_outdated_configuration(now);
+                    spawn_local(ask_for_configuration(self.clone()));
+                }
+            }
+        }
+    }
+
+    /// Logs that the configuration is outdated, with what tells the causes apart: a host that the
+    /// store turns away has a recent failure, one that was suspended or starved has none.
+    fn log_outdated_configuration(&self, now: Time) {
+        let state = self.state.borrow();
+        let age = state.confirmation.age(now);
+        let failure_age = state.last_store_failure.map(|failed| now.since(failed));
+        self.event_log.configuration_outdated(state.version(), age, failure_age, state.peers.len());
+    }
+
+    /// Returns an answer to a call for changes that was sent at `asked`. The store answers at once
+    /// if there are changes, and after `wait` otherwise.
+    fn watched(&self, changes: Changes, asked: Time, wait: Duration) -> Read {
+        let covers_until = if is_full(&changes) {
+            None
+        } else if changes.items.is_empty() {
+            Some((asked + wait).min(self.environment.clock().now()))
+        } else {
+            Some(asked)
+        };
+        Read { changes, covers_until }
+    }
+
     async fn read_store(
         self: &Rc<Self>,
         scope: ReadScope,
         last_full_read: Option<Time>,
-    ) -> Result<Changes, WatchError> {
+    ) -> Result<Read, WatchError> {
         let store = self.environment.metadata_store();
+        let asked = self.environment.clock().now();
+        let read = |changes| Read { changes, covers_until: Some(asked) };
         let (mirror_revision, configuration_revision) = {
             let state = self.state.borrow();
             (state.mirror.revision(), state.configuration_revision)
         };
         match scope {
-            ReadScope::Directory => store.read_directory().await.map_err(WatchError::Call),
-            ReadScope::All => store.read_all().await.map_err(WatchError::Call),
-            ReadScope::Changes => store.watch(mirror_revision, MAX_WAIT).await,
+            ReadScope::Directory => {
+                store.read_directory().await.map(read).map_err(WatchError::Call)
+            }
+            ReadScope::All => store.read_all().await.map(read).map_err(WatchError::Call),
+            ReadScope::Changes => {
+                let changes = store.watch(mirror_revision, MAX_WAIT).await?;
+                Ok(self.watched(changes, asked, MAX_WAIT))
+            }
             ReadScope::Configuration => {
                 let wait = MAX_WAIT.min(self.time_until_first_full_read(last_full_read));
-                store.watch_configuration(configuration_revision, wait).await
+                let changes = store.watch_configuration(configuration_revision, wait).await?;
+                Ok(self.watched(changes, asked, wait))
             }
         }
     }
--- a/crates/heathertrackd/src/entry/metrics.rs
+++ b/crates/heathertrackd/src/entry/metrics.rs
@@ -113,6 +113,9 @@
         let store_age =
             state.last_store_read.map_or(f64::INFINITY, |read| now.since(read).as_secs_f64());
         gauge!("heathertrack_store_age_seconds").set(store_age);
+        let configuration_age =
+            state.confirmation.age(now).map_or(f64::INFINITY, |age| age.as_secs_f64());
+        gauge!("heathertrack_configuration_age_seconds").set(configuration_age);
         let margin = state.pool.min_remaining_lease(now);
         gauge!("heathertrack_least_lease_seconds").set(margin.as_secs_f64());
         for end in
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -60,7 +60,8 @@
     pub(super) wake_owners: Notify,
     /// Wakes the task that dials hosts when the store or a peer tells of a new one.
     pub(super) wake_dialler: Notify,
-    /// Wakes the requests that wait for the first configuration.
+    /// Wakes the requests that wait for the first configuration, or for the store to confirm the one
+    /// in force.
     pub(super) configuration_arrived: Notify,
     /// Wakes the searches for cancelled jobs when a host has answered one.
     pub(super) search_answered: Notify,
@@ -103,7 +104,7 @@
         let entry = Rc::new(EntryHost {
             record,
             environment,
-            state: RefCell::new(State::new(options)),
+            state: RefCell::new(State::new(options, settings.configuration_time)),
             event_log,
             seeds: RefCell::new(settings.seeds.clone()),
             incarnation: rand::random(),
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -2,9 +2,9 @@
 use super::frame::Frame;
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
-use heathertrack::membership::CatchUp;
 use heathertrack::membership::depth::{MirrorScope, first_full_read_delay, mirror_scope};
 use heathertrack::membership::links::Relation;
+use heathertrack::membership::{CatchUp, Confirmation};
 use heathertrack::name::{Host, Upstream};
 use heathertrack::pool::job::{Id, Outcome};
 use heathertrack::pool::search::Search;
@@ -63,6 +63,8 @@
     pub catch_up: CatchUp,
     /// Revision of the store up to which the configuration was read.
     pub configuration_revision: u64,
+    /// Until when the store is known to have held no newer configuration.
+    pub confirmation: Confirmation,
     /// Time of the first read of the configuration and the hosts, or of the one after changes were
     /// missed; `None` before it.
     pub directory_read: Option<Time>,
@@ -165,8 +167,9 @@
 }
 
 impl State {
-    /// Returns the state of a host that has just started.
-    pub fn new(options: Options) -> Self {
+    /// Returns the state of a host that has just started. A configuration must be in force within
+    /// `configuration_time`.
+    pub fn new(options: Options, configuration_time: Duration) -> Self {
         State {
             pool: Pool::new(options),
             mirror: Mirror::default(),
@@ -188,6 +191,7 @@
             last_event: Time::ZERO,
             catch_up: CatchUp::default(),
             configuration_revision: 0,
+            confirmation: Confirmation::new(configuration_time),
             directory_read: None,
             is_mirror_current: false,
             has_started: false,
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -90,6 +90,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.pool.on_resume(now);
+            state.confirmation.on_resume();
             state.peers.clear();
             state.sent_rosters.clear();
             state.owners_stale = true;
