Refuse requests at a host that gets too little CPU to read its configuration

Change: if the configuration has been outdated for a second (a call that is slow, but doesn't fail, takes no longer), and no call has failed since it was confirmed, the host is the cause, and other hosts know more: it refuses with 503 and Retry-After until it has read the store. A host that the store turns away, or that is cut off from it, goes on with the routes that it knows.

--- a/crates/heathertrack/src/membership/confirmation.rs
+++ b/crates/heathertrack/src/membership/confirmation.rs
@@ -5,6 +5,10 @@
 /// answers within a few milliseconds if it answers at all.
 pub const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(100);
 
+/// Time after the age at which a configuration is outdated until the host counts as starved: a call to
+/// the store that is slow, but doesn't fail, takes no longer.
+const MAX_SLOW_CALL: Duration = Duration::from_secs(1);
+
 /// Judges whether the configuration of a host may still be taken for the newest one.
 ///
 /// A host that was suspended, starved or cut off from the store goes on with the configuration that
@@ -55,6 +59,15 @@
         self.confirmed.map(|at| now.since(at))
     }
 
+    /// Returns whether the configuration is outdated although no call to the store has failed since
+    /// it was confirmed: the host gets too little CPU to hear of a newer one, while others know it.
+    pub fn is_starved(&self, last_store_failure: Option<Time>, now: Time) -> bool {
+        self.confirmed.is_some_and(|at| {
+            now.since(at) > self.max_age + MAX_SLOW_CALL
+                && last_store_failure.is_none_or(|failed| failed < at)
+        })
+    }
+
     /// Returns the standing of the configuration for a request that is handled now. After
     /// [`Standing::Ask`] the store counts as asked.
     pub fn check(&mut self, now: Time) -> Standing {
--- a/crates/heathertrack/tests/confirmation.rs
+++ b/crates/heathertrack/tests/confirmation.rs
@@ -76,3 +76,17 @@
     assert_eq!(confirmation.age(at(10)), None);
     assert_eq!(confirmation.check(at(10)), Standing::Ask);
 }
+
+/// A host that the store turns away serves the routes that it knows.
+#[test]
+fn a_host_is_starved_if_no_failure_of_the_store_explains_its_outdated_configuration() {
+    let confirmation = confirmed(1_000);
+    let failed = Some(at(1_500));
+    let failed_before = Some(at(900));
+
+    assert!(!confirmation.is_starved(None, at(4_000)), "the store may be slow");
+    assert!(confirmation.is_starved(None, at(4_001)));
+    assert!(confirmation.is_starved(failed_before, at(4_001)));
+    assert!(!confirmation.is_starved(failed, at(60_000)));
+    assert!(!Confirmation::new(MAX_AGE).is_starved(None, at(60_000)), "it has just started");
+}
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -125,6 +125,10 @@
         let table = self.state.borrow().table.clone().unwrap_or(table);
         let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let version = table.version;
+        if !is_current && self.is_starved() {
+            let why = "the configuration is outdated";
+            return self.refuse_for_now(head, why, version, CONFIGURATION_RETRY_AFTER);
+        }
         let Some(route) = table.find(host, head.uri.path()) else {
             if is_current {
                 return self.refuse(head, StatusCode::NOT_FOUND, "no route", version);
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -266,6 +266,14 @@
         }
     }
 
+    /// Returns whether this host gets too little CPU to read the store in time. Another host serves its
+    /// callers better.
+    pub(super) fn is_starved(self: &Rc<Self>) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        state.confirmation.is_starved(state.last_store_failure, now)
+    }
+
     /// Logs that the configuration is outdated, with what tells the causes apart: a host that the
     /// store turns away has a recent failure, one that was suspended or starved has none.
     fn log_outdated_configuration(&self, now: Time) {
