Play planned stops beside many faults in the model

The model judges by what its upstreams ran: no two runs of a task overlap, no refused job runs, every caller gets an answer.

Clock steps and resets between hosts aren't played by the model.

--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -3,7 +3,7 @@
 //! `HEATHERTRACK_SEEDS=500 cargo test --release -p heathertrack_model`.
 
 use heathertrack::pool::Options;
-use heathertrack_model::{Fault, FaultKind, Load, Plan, Site, Violation, simulate};
+use heathertrack_model::{Class, Fault, FaultKind, Load, Plan, Site, Violation, simulate};
 use std::time::Duration;
 
 /// Number of seeds that CI runs.
@@ -37,6 +37,28 @@
     check((0..seeds()).map(Plan::small));
 }
 
+/// Returns the plan of a day with planned stops of all hosts in turn, and four to eight faults beside
+/// them. Half of the tasks last several leases, so that they outlive a stop and what goes wrong in it.
+fn dense(seed: u64) -> Plan {
+    let mut plan = Plan::small(seed).with_drawn_faults(4 + seed as usize % 5);
+    let long = Class { work: Duration::from_millis(2_500), ..plan.load.classes[1].clone() };
+    plan.load.classes.push(Class { per_second: 8.0, ..long });
+    let gap = 700 + 150 * (seed % 7);
+    plan.faults.extend(one_by_one(800, gap, |host| FaultKind::Stop { host }));
+    plan
+}
+
+#[test]
+fn no_violations_on_days_of_planned_stops_beside_many_faults() {
+    for seed in 0..seeds() {
+        let plan = dense(seed);
+
+        let violations = simulate(&plan).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}\n{:#?}", plan.faults);
+    }
+}
+
 /// Number of seeds that CI runs of the larger fleet, whose hosts are not all linked to each other.
 const FLEET_SEEDS: u64 = 4;
 
