Move what a host knows of the age of its configuration into a module of its own

`entry/follow.rs` had grown to 464 lines with two concerns: reading the store, and judging what a request may conclude from the last reading.

--- a/crates/heathertrackd/src/entry.rs
+++ b/crates/heathertrackd/src/entry.rs
@@ -7,6 +7,7 @@
 mod boot_clock;
 mod callers;
 mod cancel;
+mod configuration;
 mod deferred_lines;
 mod dispatch;
 mod event_log;
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -4,7 +4,6 @@
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use heathertrack::clock::Time;
-use heathertrack::membership::Standing;
 use heathertrack::membership::depth::{MirrorScope, full_read_period};
 use heathertrack_platform::{
     Changes, DecodedItem, Item, KeyKind, MetadataStore, Registration, WatchError,
@@ -72,14 +71,6 @@
     changes.items.len() >= FULL_ANSWER_CHANGES
 }
 
-/// Reads the configuration apart from the task that follows the store, which may be pausing. If that
-/// fails, the task finds the same in its next call.
-async fn ask_for_configuration<E: Environment>(entry: Rc<EntryHost<E>>) {
-    if let Err(WatchError::Compacted) = entry.read_configuration(Duration::ZERO).await {
-        entry.wake_follower.notify_one();
-    }
-}
-
 async fn follow<E: Environment>(entry: Rc<EntryHost<E>>) {
     let mut is_store_answering = true;
     let mut has_failed = false;
@@ -217,7 +208,10 @@
     }
 
     /// Reads the changes of the configuration, and applies them.
-    async fn read_configuration(self: &Rc<Self>, wait: Duration) -> Result<(), WatchError> {
+    pub(super) async fn read_configuration(
+        self: &Rc<Self>,
+        wait: Duration,
+    ) -> Result<(), WatchError> {
         let revision = self.state.borrow().configuration_revision;
         let store = self.environment.metadata_store();
         let asked = self.environment.clock().now();
@@ -237,52 +231,6 @@
         Ok(())
     }
 
-    /// Records that the configuration in force was the newest one at a time, and wakes the requests
-    /// that wait for that.
-    fn confirm_configuration(&self, at: Time) {
-        self.state.borrow_mut().confirmation.confirm(at);
-        self.configuration_arrived.notify_waiters();
-    }
-
-    /// Returns whether the configuration in force may be taken for the newest one. If the store
-    /// hasn't confirmed it for too long, asks the store and waits for a moment.
-    pub(super) async fn has_current_configuration(self: &Rc<Self>) -> bool {
-        loop {
-            let answered = self.configuration_arrived.notified();
-            let now = self.now();
-            let standing = self.state.borrow_mut().confirmation.check(now);
-            match standing {
-                Standing::Current => return true,
-                Standing::Outdated => return false,
-                Standing::Wait(until) => {
-                    // The standing is looked up whether the store answered or the time is over.
-                    let _ = timeout(until.since(now), answered).await;
-                }
-                Standing::Ask => {
-                    self.log_outdated_configuration(now);
-                    spawn_local(ask_for_configuration(self.clone()));
-                }
-            }
-        }
-    }
-
-    /// Returns whether this host gets too little CPU to read the store in time. Another host serves its
-    /// callers better.
-    pub(super) fn is_starved(self: &Rc<Self>) -> bool {
-        let now = self.now();
-        let state = self.state.borrow();
-        state.confirmation.is_starved(state.last_store_failure, now)
-    }
-
-    /// Logs that the configuration is outdated, with what tells the causes apart: a host that the
-    /// store turns away has a recent failure, one that was suspended or starved has none.
-    fn log_outdated_configuration(&self, now: Time) {
-        let state = self.state.borrow();
-        let age = state.confirmation.age(now);
-        let failure_age = state.last_store_failure.map(|failed| now.since(failed));
-        self.event_log.configuration_outdated(state.version(), age, failure_age, state.peers.len());
-    }
-
     /// Returns an answer to a call for changes that was sent at `asked`. The store answers at once
     /// if there are changes, and after `wait` otherwise.
     fn watched(&self, changes: Changes, asked: Time, wait: Duration) -> Read {
