--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -1,6 +1,5 @@
 //! HTTP server for callers' requests.
 
-use super::boot_clock::Clock;
 use super::cancel::Cancelling;
 use super::event_log::ms;
 use super::metrics;
@@ -177,8 +176,7 @@
         version: u64,
     ) -> Response<String> {
         metrics::request_refused(status.as_u16());
-        let now = self.environment.clock().now();
-        let age = self.state.borrow().confirmation.age(now);
+        let age = self.configuration_age();
         self.event_log.request_refused(head.uri.path(), status.as_u16(), why, version, age);
         self.environment.caller_protocol().error_response(status, why)
     }
@@ -283,7 +281,7 @@
         if !self.has_time_for(&job) {
             let why = "this host stops before the job could be done";
             let outcome = Outcome::NotRun { retry_after: RETRY_AFTER, why };
-            let age = self.state.borrow().confirmation.age(self.now());
+            let age = self.configuration_age();
             self.event_log.request_refused(job.id.as_str(), 503, why, version, age);
             return self.environment.caller_protocol().outcome_response(&outcome);
         }
--- a/crates/heathertrackd/src/entry/configuration.rs
+++ b/crates/heathertrackd/src/entry/configuration.rs
@@ -1,5 +1,6 @@
 //! Whether the configuration of this host may be taken for the newest one.
 
+use super::boot_clock::Clock;
 use super::node::{EntryHost, Environment};
 use heathertrack::clock::Time;
 use heathertrack::membership::Standing;
@@ -25,6 +26,12 @@
         self.configuration_arrived.notify_waiters();
     }
 
+    /// Returns the time since the store last confirmed the configuration, if it has.
+    pub(super) fn configuration_age(&self) -> Option<Duration> {
+        let now = self.environment.clock().now();
+        self.state.borrow().confirmation.age(now)
+    }
+
     /// Returns whether the configuration in force may be taken for the newest one. If the store
     /// hasn't confirmed it for too long, asks the store and waits for a moment.
     pub(super) async fn has_current_configuration(self: &Rc<Self>) -> bool {
