Let jobs with a run wait for upstreams that return

What callers would see: a job was answered 504 "its upstreams have passed to another dispatcher" while four of its eight tasks ran, when odd records moved its upstreams to another data centre for 0.6 s.

Such a job can wait: its runs are followed to their end, and the upstreams may return meanwhile.

Change: only jobs of which nothing runs end.

--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Ends jobs with queued tasks once all upstreams have passed to other dispatchers: another one
-    /// can run them. Jobs whose runs all go on are followed to their end.
+    /// Ends jobs of which nothing runs once all upstreams have passed to other dispatchers: another one
+    /// can run them. While a run of a job goes on, its queued tasks wait for the upstreams to return.
     fn end_stranded_jobs(&mut self, now: Time) {
         let is_assigned = |upstream: &Upstream| upstream.ownership != Ownership::Released;
         if self.jobs.is_empty() || self.upstreams.values().any(is_assigned) {
@@ -73,9 +73,9 @@
         if now.since(since) < MAX_UNASSIGNED_TIME {
             return;
         }
-        let is_queued = |(_, job): &(JobKey, &Job)| job.startable().next().is_some();
-        let stranded: Vec<JobKey> =
-            self.jobs.iter().filter(is_queued).map(|(key, _)| key).collect();
+        let is_idle =
+            |(_, job): &(JobKey, &Job)| job.steps.iter().flatten().all(|task| task.run.is_none());
+        let stranded: Vec<JobKey> = self.jobs.iter().filter(is_idle).map(|(key, _)| key).collect();
         for key in stranded {
             let Some(job) = self.jobs.get(key) else { continue };
             if job.has_started || job.has_ended_run {
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -237,6 +237,25 @@
     assert!(matches!(released[..], [Outcome::NotRun { .. }]), "{released:?}");
 }
 
+/// An odd record may move an upstream to another data centre for a moment.
+#[test]
+fn a_job_with_a_run_waits_for_upstreams_that_return() {
+    let mut pool = pool(&["u1"]);
+    let wide = job("wide");
+    let steps = vec![Step { count: 3, ..wide.steps[0].clone() }];
+    pool.submit(Request { steps, ..wide }, at(100));
+    let started = starts(&pool.take_effects());
+    for (_, run, _) in &started {
+        pool.on_start_answer(*run, StartAnswer::Running, Some(101), at(101));
+    }
+
+    pool.update_upstream(record("u1"), !OWNED, at(110));
+    let released = tick(&mut pool, 125, 800);
+
+    assert_eq!(started.len(), 2, "the third task is queued");
+    assert!(released.is_empty(), "{released:?}");
+}
+
 #[test]
 fn upstreams_that_return_at_once_end_no_queued_job() {
     let mut fixture = running(&["u1"]);
