Log the losses that a verdict rests on

A job answered as failed left no record of which losses counted, of which processes, and whether another dispatcher had reported them; nor when a lost run was last known to go on. So a log couldn't tell a crash under a run from one that the run didn't meet.

task_quarantined has one row of evidence for each loss, runs_lost one row for each run with the process that it was ordered from and the time since it was last reported as running, and loss_taken_back names the tasks. No decision changes.

--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -39,7 +39,7 @@
 pub use job::JobKey;
 pub use listing::{EndedRun, Listing, RunEnd, RunningRun};
 pub use load::Load;
-pub use loss::{Loss, LossCause, PollFailure};
+pub use loss::{Evidence, Loss, LossCause, LostRun, PollFailure};
 pub use machine::Pool;
 pub use options::Options;
 pub use ownership::{Candidate, choose_dispatchers, owner, startup_grace};
--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -1,4 +1,4 @@
-use super::{JobKey, Load, Loss, RunKey, Task, UpstreamKey};
+use super::{Evidence, JobKey, Load, Loss, LostRun, RunKey, Task, UpstreamKey};
 use crate::pool::job::{Id, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -125,8 +125,8 @@
         task: Task,
         /// Number of upstreams that probably crashed.
         crashes: usize,
-        /// Number of upstreams that were lost for any cause.
-        losses: usize,
+        /// The losses that this rests on.
+        evidence: Vec<Evidence>,
     },
     /// A run ended without completing.
     RunEnded {
@@ -145,14 +145,19 @@
     RunsLost {
         /// The runs, and what is known of the process.
         loss: Loss,
-        /// Those of its tasks whose runs are known to have begun.
-        begun: Vec<Task>,
+        /// What is known of each run.
+        runs: Vec<LostRun>,
         /// Number of other upstreams that stopped responding at the same time, and still don't
         /// respond.
         stopped_with_it: usize,
         /// Time since the upstream's last answer.
         age: Duration,
     },
+    /// A loss is taken back, as the process of the upstream has answered again.
+    LossTakenBack {
+        /// The runs, and the process.
+        loss: Loss,
+    },
     /// The assumed state of an upstream changed.
     Upstream {
         /// The upstream.
--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -1,5 +1,6 @@
 use super::Task;
 use crate::name;
+use std::time::Duration;
 
 /// Why a poll of an upstream has no result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,3 +68,31 @@
     /// The tasks of these runs, also those of jobs that have ended.
     pub tasks: Vec<Task>,
 }
+
+/// A run that was lost with the process of its upstream, as far as its dispatcher knows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LostRun {
+    /// The task.
+    pub task: Task,
+    /// Number of the run.
+    pub number: u32,
+    /// Unix time in milliseconds of the start of the process that it was ordered from, if known.
+    pub started_ms: Option<u64>,
+    /// Time since the upstream last reported it as running; `None` if it never did.
+    pub seen_age: Option<Duration>,
+}
+
+/// What the loss of one process says about a task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Evidence {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Unix time of the start of its process in milliseconds, if known.
+    pub started_ms: Option<u64>,
+    /// What the loss says, for logs.
+    pub blame: &'static str,
+    /// Time since the loss was recorded.
+    pub age: Duration,
+    /// Whether another dispatcher reported it.
+    pub is_reported: bool,
+}
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -295,8 +295,9 @@
         let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
             return false;
         };
-        let (crashes, losses) = self.quarantine.counts(&task);
-        self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, losses }));
+        let crashes = self.quarantine.count_crashes(&task);
+        let evidence = self.quarantine.evidence(&task, now);
+        self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, evidence }));
         if verdict == Verdict::Crashing {
             self.finish(key, Outcome::Failed, now);
         } else {
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -8,7 +8,7 @@
 use crate::pool::quarantine::Blame;
 use crate::pool::run::Run;
 use crate::pool::upstream::Upstream;
-use crate::pool::{Effect, Loss, LossCause, RunKey, Task, UpstreamKey};
+use crate::pool::{Decision, Effect, Loss, LossCause, RunKey, Task, UpstreamKey};
 use std::time::Duration;
 
 /// Time within which crashes at one instant are noticed: connections close at once, and are handled
@@ -136,7 +136,7 @@
             return Blame::Unknown;
         }
         let is_only_suspect = is_alone || !self.quarantine.is_suspect(&run.task, now);
-        let is_proven = run.seen_running && is_only_suspect && stops == 0;
+        let is_proven = run.has_begun() && is_only_suspect && stops == 0;
         if is_proven { Blame::Crash } else { Blame::Doubtful }
     }
 
@@ -148,7 +148,7 @@
             self.upstreams.get(key).is_some_and(|upstream| upstream.unresponsive_since.is_none())
         };
         let goes_on = |run: &RunKey| {
-            self.runs.get(*run).is_some_and(|run| run.seen_running && responds(run.upstream))
+            self.runs.get(*run).is_some_and(|run| run.has_begun() && responds(run.upstream))
         };
         let job = run.job.and_then(|job| self.jobs.get(job));
         let is_harmless = job.is_some_and(|job| {
@@ -175,6 +175,7 @@
         let (upstream, started_ms) = process;
         let cause = LossCause::Left;
         let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
+        self.effects.push(Effect::Log(Decision::LossTakenBack { loss: loss.clone() }));
         self.effects.push(Effect::ReportLoss(loss));
         self.log_upstream_state(key, "runs on after its runs were lost", now);
     }
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -116,7 +116,7 @@
             };
             seen.push(run_key);
             let Some(run) = self.runs.get_mut(run_key) else { continue };
-            run.seen_running = true;
+            run.seen_at = Some(now);
             if run.state == RunState::Starting {
                 run.state = RunState::Running;
                 run.absence_proves_end_at = Some(now);
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -4,7 +4,8 @@
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
 use crate::pool::{
-    Decision, Effect, JobKey, Loss, LossCause, RunEnd, RunKey, StartAnswer, Task, UpstreamKey,
+    Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
+    UpstreamKey,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -38,7 +39,7 @@
         }
         match answer {
             StartAnswer::Running => {
-                run.seen_running = true;
+                run.seen_at = Some(now);
                 run.shared_until = run.shared_until.min(shared_until);
                 // While the run is being stopped, its absence from a list proves nothing before the
                 // stop is answered.
@@ -101,7 +102,7 @@
             run.absence_proves_end_at = Some(now + self.options.max_stop_time);
             // The listed end of a run that began completes the poll in flight. A run that never
             // began has no listed end.
-            run.poll_for_end = !run.seen_running;
+            run.poll_for_end = !run.has_begun();
             if let Some(upstream) = self.upstreams.get_mut(upstream_key) {
                 if let Some(clock_ms) = clock_ms {
                     upstream.record_clock(clock_ms, now);
@@ -204,7 +205,13 @@
     ) {
         let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
         let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
-        let begun = lost().filter(|run| run.seen_running).map(|run| run.task.clone()).collect();
+        let lost_run = |run: &Run| LostRun {
+            task: run.task.clone(),
+            number: run.number,
+            started_ms: run.process_started_ms,
+            seen_age: run.seen_at.map(|at| now.since(at)),
+        };
+        let lost_runs: Vec<LostRun> = lost().map(lost_run).collect();
         let started_ms = lost().next().and_then(|run| run.process_started_ms);
         let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
@@ -218,7 +225,7 @@
             if cause != LossCause::Left {
                 self.blame_tasks(key, &runs, &loss, now);
             }
-            let lost = Decision::RunsLost { loss, begun, stopped_with_it, age };
+            let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
             self.effects.push(Effect::Log(lost));
         }
         for run in runs {
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -177,7 +177,7 @@
             expected,
             absence_proves_end_at: None,
             poll_for_end: false,
-            seen_running: false,
+            seen_at: None,
             competitor_may_renew: self.has_competitors,
             shared_until: if is_shared { now + max_sharing_time } else { Time::ZERO },
             unanswered_stops: 0,
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -4,7 +4,7 @@
 //! started again once two upstreams have crashed under it, however often its job is submitted.
 
 use super::job::Id;
-use super::{Loss, LossCause, Task};
+use super::{Evidence, Loss, LossCause, Task};
 use crate::clock::Time;
 use crate::name;
 use std::collections::BTreeMap;
@@ -51,6 +51,16 @@
     /// All values, in declaration order.
     pub const ALL: [Blame; 4] = [Blame::Common, Blame::Unknown, Blame::Doubtful, Blame::Crash];
 
+    /// Returns the name for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Blame::Common => "common",
+            Blame::Unknown => "unknown",
+            Blame::Doubtful => "doubtful",
+            Blame::Crash => "crash",
+        }
+    }
+
     /// Returns what a report of a loss says about its tasks.
     fn of_report(report: &Loss) -> Self {
         match (report.cause.is_crash(), report.is_doubtful) {
@@ -85,18 +95,27 @@
     Crashing,
 }
 
+/// Record of the loss of a process under one task.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    blame: Blame,
+    recorded_at: Time,
+    /// Whether another dispatcher reported it.
+    is_reported: bool,
+}
+
 /// Losses of one task.
 #[derive(Clone, Debug)]
 struct Entry {
-    /// What the loss of each process says. A process counts once, however often it is reported.
-    losses: BTreeMap<Process, Blame>,
+    /// The loss of each process. A process counts once, however often it is reported.
+    losses: BTreeMap<Process, Record>,
     last_loss: Time,
 }
 
 impl Entry {
     /// Returns the number of losses that say at least this much.
     fn count(&self, least: Blame) -> usize {
-        self.losses.values().filter(|blame| **blame >= least).count()
+        self.losses.values().filter(|record| record.blame >= least).count()
     }
 
     fn is_in_step(&self) -> bool {
@@ -136,14 +155,21 @@
     /// Records what the loss of an upstream's process says about tasks. A loss that was recorded
     /// before changes nothing, unless it says more now.
     pub fn record(&mut self, process: &Process, tasks: &[Task], blame: Blame, now: Time) {
+        let record = Record { blame, recorded_at: now, is_reported: false };
+        self.insert(process, tasks, record, now);
+    }
+
+    fn insert(&mut self, process: &Process, tasks: &[Task], record: Record, now: Time) {
+        let blame = record.blame;
         self.entries.retain(|_, entry| now.since(entry.last_loss) <= RETENTION);
         for task in tasks {
             let entry = self
                 .entries
                 .entry(task.clone())
                 .or_insert_with(|| Entry { losses: BTreeMap::new(), last_loss: now });
-            let before = entry.losses.get(process).copied();
-            entry.losses.insert(process.clone(), before.unwrap_or(blame).max(blame));
+            let before = entry.losses.get(process).map(|record| record.blame);
+            let known = entry.losses.entry(process.clone()).or_insert(record);
+            known.blame = known.blame.max(blame);
             if before.is_none() {
                 entry.last_loss = now;
             }
@@ -167,7 +193,9 @@
         if loss.cause == LossCause::Left {
             self.take_back(&process);
         } else {
-            self.record(&process, &loss.tasks, Blame::of_report(loss), now);
+            let blame = Blame::of_report(loss);
+            let record = Record { blame, recorded_at: now, is_reported: true };
+            self.insert(&process, &loss.tasks, record, now);
         }
     }
 
@@ -189,8 +217,8 @@
         let mut losses: BTreeMap<(&Process, Blame), Vec<Task>> = BTreeMap::new();
         let remembered = |(_, entry): &(&Task, &Entry)| now.since(entry.last_loss) <= RETENTION;
         for (task, entry) in self.entries.iter().filter(remembered) {
-            for (process, blame) in &entry.losses {
-                losses.entry((process, *blame)).or_default().push(task.clone());
+            for (process, record) in &entry.losses {
+                losses.entry((process, record.blame)).or_default().push(task.clone());
             }
         }
         let report = |((process, blame), tasks): ((&Process, Blame), _)| {
@@ -235,10 +263,22 @@
         self.entries.get(task).is_some_and(|entry| entry.verdict(now) >= Verdict::Suspect)
     }
 
-    /// Returns how many upstreams are proven to have crashed, and how many were lost under a task.
-    pub fn counts(&self, task: &Task) -> (usize, usize) {
-        let counts = |entry: &Entry| (entry.count(Blame::Crash), entry.losses.len());
-        self.entries.get(task).map_or((0, 0), counts)
+    /// Returns how many upstreams are proven to have crashed under a task.
+    pub fn count_crashes(&self, task: &Task) -> usize {
+        self.entries.get(task).map_or(0, |entry| entry.count(Blame::Crash))
+    }
+
+    /// Returns the losses of a task.
+    pub fn evidence(&self, task: &Task, now: Time) -> Vec<Evidence> {
+        let losses = self.entries.get(task).into_iter().flat_map(|entry| &entry.losses);
+        let evidence = |((upstream, started_ms), record): (&Process, &Record)| Evidence {
+            upstream: upstream.clone(),
+            started_ms: *started_ms,
+            blame: record.blame.name(),
+            age: now.since(record.recorded_at),
+            is_reported: record.is_reported,
+        };
+        losses.map(evidence).collect()
     }
 
     /// Returns the number of tasks with losses that are still remembered.
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -66,8 +66,8 @@
     /// Whether the upstream has to be polled at `absence_proves_end_at`, as no listed end will
     /// complete the poll in flight.
     pub poll_for_end: bool,
-    /// Whether the upstream has reported it as running.
-    pub seen_running: bool,
+    /// When the upstream last reported it as running.
+    pub seen_at: Option<Time>,
     /// Whether a competing dispatcher may renew, or may have renewed, the lease of its upstream, so
     /// that it may outlive the lease that this dispatcher renewed.
     pub competitor_may_renew: bool,
@@ -81,3 +81,10 @@
     /// When `percent` last changed.
     pub progressed_at: Time,
 }
+
+impl Run {
+    /// Returns whether the run is known to have begun.
+    pub fn has_begun(&self) -> bool {
+        self.seen_at.is_some()
+    }
+}
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -7,7 +7,7 @@
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Effect, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
+    Decision, Effect, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
 };
 use std::collections::BTreeSet;
 
@@ -538,3 +538,60 @@
         restart(&mut pool, &started, ms + ROUND_MS + 10);
     }
 }
+
+#[test]
+fn a_verdict_is_logged_with_the_losses_that_it_rests_on() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("deadly"), at(100));
+    let mut effects = pool.take_effects();
+    let mut started = starts(&effects);
+    for round in 0..2 {
+        let ms = 110 + round * ROUND_MS;
+        begin(&mut pool, &started, ms - 1);
+        lose(&mut pool, &started, PollFailure::Refused, ms);
+        let of_round = pool.take_effects();
+        started = starts(&of_round);
+        effects.extend(of_round);
+    }
+
+    let seen_ages: Vec<u128> = effects.iter().flat_map(lost_runs).collect();
+    let ages: Vec<u128> = effects.iter().flat_map(evidence_ages).collect();
+    // Seen 1 ms before the upstream stopped, lost 720 ms after that.
+    assert_eq!(seen_ages, [721, 721]);
+    assert_eq!(ages, [ROUND_MS.into(), 0]);
+}
+
+#[test]
+fn a_loss_that_is_taken_back_is_logged_with_its_tasks() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(100));
+    let started = starts(&pool.take_effects());
+    begin(&mut pool, &started, 101);
+    lose(&mut pool, &started, PollFailure::Refused, 110);
+
+    answer_again(&mut pool, &started, 840);
+
+    let task = &started[0].2;
+    let is_it = |effect: &Effect| matches!(effect, Effect::Log(Decision::LossTakenBack { loss }) if loss.tasks[..] == [task.clone()]);
+    assert!(pool.take_effects().iter().any(is_it));
+}
+
+/// Returns how long ago each lost run was last reported as running, in milliseconds.
+fn lost_runs(effect: &Effect) -> Vec<u128> {
+    match effect {
+        Effect::Log(Decision::RunsLost { runs, .. }) => {
+            runs.iter().filter_map(|run| run.seen_age).map(|age| age.as_millis()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Returns the ages of the losses that a verdict rests on, in milliseconds.
+fn evidence_ages(effect: &Effect) -> Vec<u128> {
+    match effect {
+        Effect::Log(Decision::TaskQuarantined { evidence, .. }) => {
+            evidence.iter().map(|loss| loss.age.as_millis()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -9,7 +9,7 @@
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::Id;
-use heathertrack::pool::{Decision, Load, StartAnswer, Task};
+use heathertrack::pool::{Decision, Evidence, Load, LostRun, StartAnswer, Task};
 use heathertrack_platform::{CallError, HostSettings, StartOrder};
 use serde_json::{Value, json};
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -361,19 +361,32 @@
                 json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
                     "upstream": upstream.as_str(), "how": how, "age_ms": ms(*age) }),
             ),
-            Decision::TaskQuarantined { task, crashes, losses } => self.write(
-                "task_quarantined",
-                json!({ "id": task.job.as_str(), "task": task.to_string(), "crashes": crashes,
-                    "losses": losses }),
-            ),
-            Decision::RunsLost { loss, begun, stopped_with_it, age } => {
+            Decision::TaskQuarantined { task, crashes, evidence } => {
+                let rows: Vec<Value> = evidence.iter().map(evidence_row).collect();
+                self.write(
+                    "task_quarantined",
+                    json!({ "id": task.job.as_str(), "task": task.to_string(), "crashes": crashes,
+                        "losses": evidence.len(), "evidence": rows }),
+                );
+            }
+            Decision::LossTakenBack { loss } => {
                 let tasks: Vec<String> = loss.tasks.iter().map(Task::to_string).collect();
-                let begun: Vec<String> = begun.iter().map(Task::to_string).collect();
+                self.write(
+                    "loss_taken_back",
+                    json!({ "upstream": loss.upstream.as_str(), "started_ms": loss.started_ms,
+                        "tasks": tasks }),
+                );
+            }
+            Decision::RunsLost { loss, runs, stopped_with_it, age } => {
+                let tasks: Vec<String> = loss.tasks.iter().map(Task::to_string).collect();
+                let begun = runs.iter().filter(|run| run.seen_age.is_some());
+                let begun: Vec<String> = begun.map(|run| run.task.to_string()).collect();
+                let rows: Vec<Value> = runs.iter().map(lost_run_row).collect();
                 self.write(
                     "runs_lost",
                     json!({ "upstream": loss.upstream.as_str(), "started_ms": loss.started_ms,
                         "cause": loss.cause.name(), "tasks": tasks, "begun": begun,
-                        "stopped_with_it": stopped_with_it, "age_ms": ms(*age) }),
+                        "runs": rows, "stopped_with_it": stopped_with_it, "age_ms": ms(*age) }),
                 );
             }
             Decision::Upstream { upstream, state, age } => self.write(
@@ -384,6 +397,19 @@
     }
 }
 
+/// Returns the row of a run in `runs_lost`: its task, its number, the process that it was ordered from,
+/// and the time since it was last reported as running.
+fn lost_run_row(run: &LostRun) -> Value {
+    json!([run.task.to_string(), run.number, run.started_ms, run.seen_age.map(ms)])
+}
+
+/// Returns the row of a loss in `task_quarantined`: the upstream, its process, what its loss says, the
+/// time since then, and whether another dispatcher reported it.
+fn evidence_row(evidence: &Evidence) -> Value {
+    let Evidence { upstream, started_ms, blame, age, is_reported } = evidence;
+    json!([upstream.as_str(), started_ms, blame, ms(*age), is_reported])
+}
+
 /// Cuts a text that is longer than [`MAX_TEXT_BYTES`], and marks it with an ellipsis.
 fn cut_text(field: &mut Value) {
     if let Value::String(text) = field
