Show jobs that fail for resets of connections, without a crash

The model now records each job that can be done and is answered as failed, and at the end counts the crashes and the failures of its tasks from the record of the upstreams: a violation if there were too few. It can reset the connections of all hosts to an upstream that runs on.

--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -107,6 +107,26 @@
     assert_ne!(outcome(&pool.take_effects()), Some(Outcome::Failed));
 }
 
+#[test]
+fn a_job_is_not_failed_for_paths_that_refuse_connections() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("j"), at(100));
+    let mut cut = Vec::new();
+    for round in 0..2 {
+        let ms = 110 + round * ROUND_MS;
+        let started = starts(&pool.take_effects());
+        begin(&mut pool, &started, ms - 1);
+        lose(&mut pool, &started, PollFailure::Refused, ms);
+        cut.extend(started);
+    }
+    let ended = outcomes(&pool.take_effects());
+
+    answer_again(&mut pool, &cut, 4_000);
+
+    assert_eq!(cut.len(), 2);
+    assert!(!ended.contains(&Outcome::Failed), "{ended:?}");
+}
+
 #[test]
 fn tasks_that_ran_through_two_common_crashes_are_started_again() {
     let mut pool = pool(&SIXTEEN);
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -31,8 +31,11 @@
     /// Messages from a host to a share of the upstreams are lost, or with `back` those from the
     /// upstreams to the host.
     CutUpstreams { host: usize, share: f64, back: bool, span: Duration },
-    /// Connections from a host to a share of the upstreams are refused.
+    /// Connections from a host to a share of the upstreams are reset, and refused from then on.
     ResetUpstreams { host: usize, share: f64, span: Duration },
+    /// Connections from all hosts to an upstream are reset, and refused from then on. The upstream
+    /// runs on.
+    ResetUpstream { upstream: usize, span: Duration },
     /// A data centre is partitioned from all others and from the store.
     CutCentre { centre: usize, span: Duration },
     /// A share of the orders to upstreams gets no answer and is executed seconds later.
@@ -117,7 +120,8 @@
             FaultKind::CutHosts { from, to, .. } => Target::Hosts(from, to),
             FaultKind::CutCentre { centre, .. } => Target::Centre(centre),
             FaultKind::KillAll { .. } | FaultKind::StoreDown { .. } => Target::AllHosts,
-            FaultKind::Crash { upstream, .. }
+            FaultKind::ResetUpstream { upstream, .. }
+            | FaultKind::Crash { upstream, .. }
             | FaultKind::Failing { upstream, .. }
             | FaultKind::Hanging { upstream, .. }
             | FaultKind::Slow { upstream, .. }
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -163,7 +163,10 @@
             let incarnation = emulated.borrow().incarnation();
             wait_for_end(&emulated, request.acknowledged, Instant::now() + request.wait).await;
             self.network.deliver(Node::Upstream(index), Node::Host(self.host)).await;
-            if emulated.borrow().incarnation() != incarnation {
+            let (own, target) = (Node::Host(self.host), Node::Upstream(index));
+            if emulated.borrow().incarnation() != incarnation
+                || self.network.is_refusing(own, target)
+            {
                 return Err(CallError::ResponseLost("connection closed".to_owned()));
             }
             Ok(emulated.borrow_mut().list(Instant::now()))
--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -45,8 +45,8 @@
     pub ended_at: Instant,
     /// Whether the order to start it was executed late.
     pub started_late: bool,
-    /// Whether it ended with the process of its upstream.
-    pub lost: bool,
+    /// How it ended; `None` if it did with the process of its upstream.
+    pub how: Option<RunEnd>,
 }
 
 /// A run in progress.
@@ -174,7 +174,7 @@
 
     /// Ends a run, and lists its end.
     fn finish(&mut self, task: &Task, at: Instant, how: RunEnd) {
-        let Some(run) = self.remove(task, at, /* lost: */ false) else { return };
+        let Some(run) = self.remove(task, at, Some(how)) else { return };
         self.last_sequence += 1;
         let (sequence, number) = (self.last_sequence, run.number);
         self.ended.push(EndedRun { sequence, task: Some(task.clone()), number, how });
@@ -182,14 +182,14 @@
     }
 
     /// Removes a run that has ended, and records it.
-    fn remove(&mut self, task: &Task, at: Instant, lost: bool) -> Option<Running> {
+    fn remove(&mut self, task: &Task, at: Instant, how: Option<RunEnd>) -> Option<Running> {
         let run = self.running.remove(task)?;
         self.completed_runs.push(CompletedRun {
             task: task.clone(),
             started_at: run.started_at,
             ended_at: at,
             started_late: run.started_late,
-            lost,
+            how,
         });
         Some(run)
     }
@@ -342,7 +342,7 @@
         self.advance(now);
         let tasks: Vec<Task> = self.running.keys().cloned().collect();
         for task in tasks {
-            self.remove(&task, now, /* lost: */ true);
+            self.remove(&task, now, None);
         }
         self.ended.clear();
         self.highest_numbers.clear();
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -14,9 +14,9 @@
 use super::upstream::{CompletedRun, EmulatedUpstream, JobProfiles};
 use super::verdict::{JobStats, Verdict, Violation};
 use heathertrack::name::{DataCentre, Host, Upstream};
-use heathertrack::pool::Task;
 use heathertrack::pool::job::{Id, Needs, Outcome, Request};
 use heathertrack::pool::upstream::Record;
+use heathertrack::pool::{RunEnd, Task};
 use heathertrack::routes::{Limits, RouteTable};
 use heathertrack_platform::{DecodedItem, HostSettings};
 use heathertrackd::entry::{Clock, EntryHost, EventLog};
@@ -47,6 +47,10 @@
 /// Number of starts of a task, after three upstreams were lost under it, that breaks the users' rule
 /// BUDGET.
 const MAX_STARTS_AFTER_THIRD_LOSS: usize = 3;
+/// Number of upstreams that have to crash under a task before its job may be answered as failed.
+const MIN_LOSSES_OF_FAILED: usize = 2;
+/// Number of runs of a task that have to fail before its job may be answered as failed.
+const MAX_ATTEMPTS: u32 = 3;
 /// Time after a fault of a host in which submissions may get no answer because of it.
 const FAULT_AFTEREFFECT: Duration = Duration::from_secs(1);
 
@@ -76,6 +80,8 @@
     stats: RefCell<Vec<JobStats>>,
     /// Jobs of which every submission was refused, so that none of their tasks may run.
     refused: RefCell<BTreeSet<Id>>,
+    /// Jobs that can be done and were answered as failed.
+    failed: RefCell<BTreeSet<Id>>,
     violations: RefCell<Vec<Violation>>,
     /// Factor by which the rate of callers is currently multiplied.
     caller_factor: Cell<f64>,
@@ -139,6 +145,7 @@
             log: Arc::default(),
             stats: RefCell::new(stats),
             refused: RefCell::default(),
+            failed: RefCell::default(),
             violations: RefCell::default(),
             caller_factor: Cell::new(1.0),
             leaving_share: Cell::new(leaving_share),
@@ -320,6 +327,8 @@
         }
         let mut violations = std::mem::take(&mut *self.violations.borrow_mut());
         let refused = self.refused.borrow();
+        let failed = self.failed.borrow().iter().map(|id| (id.clone(), (0, 0))).collect();
+        let mut causes: BTreeMap<Id, (usize, usize)> = failed;
         for (task, completed) in &mut runs {
             completed.sort_by_key(|run| run.started_at);
             for pair in completed.windows(2) {
@@ -331,8 +340,14 @@
                     violations.push(Violation::ConcurrentRuns { task: task.clone(), overlap });
                 }
             }
-            let losses: Vec<usize> = (0..completed.len()).filter(|n| completed[*n].lost).collect();
+            let losses: Vec<usize> =
+                (0..completed.len()).filter(|n| completed[*n].how.is_none()).collect();
             most_losses = most_losses.max(losses.len());
+            if let Some((most_losses, most_failures)) = causes.get_mut(&task.job) {
+                let failures = completed.iter().filter(|run| run.how == Some(RunEnd::Failed));
+                *most_losses = losses.len().max(*most_losses);
+                *most_failures = failures.count().max(*most_failures);
+            }
             if let Some(third) = losses.get(2)
                 && completed.len() - (third + 1) >= MAX_STARTS_AFTER_THIRD_LOSS
             {
@@ -346,6 +361,12 @@
                 superseded_seconds += run.ended_at.duration_since(run.started_at).as_secs_f64();
             }
         }
+        for (job, (losses, failures)) in causes {
+            if losses < MIN_LOSSES_OF_FAILED && failures < MAX_ATTEMPTS as usize {
+                let job = job.to_string();
+                violations.push(Violation::FailedWithoutCause { job, losses });
+            }
+        }
         let classes = self.plan.load.classes.iter().map(|class| class.name);
         let classes = classes.zip(self.stats.borrow().iter().copied()).collect();
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner).clone();
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -1,6 +1,6 @@
 //! Emulated callers.
 
-use super::{Answer, World};
+use super::{Answer, MAX_ATTEMPTS, World};
 use crate::load::{DrawnJob, OBJECTIVE_EXTRA, OBJECTIVE_RATIO};
 use crate::upstream::JobProfile;
 use crate::verdict::Violation;
@@ -62,7 +62,12 @@
                 }
                 sleep(RESUBMIT_DELAY).await;
             }
-            Answer::Outcome(outcome) => break Some(outcome),
+            Answer::Outcome(outcome) => {
+                if outcome == Outcome::Failed && !drawn.poison {
+                    world.failed.borrow_mut().insert(id.clone());
+                }
+                break Some(outcome);
+            }
             Answer::Left => return,
             Answer::Missing(waited) => {
                 let job = id.to_string();
@@ -139,7 +144,7 @@
         class: Arc::from(class.name),
         service: Arc::from("service"),
         priority: class.priority,
-        max_attempts: 3,
+        max_attempts: MAX_ATTEMPTS,
         steps: vec![drawn.step.clone()],
         received: zero,
         objective,
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -69,6 +69,7 @@
             set(false);
             world.mark_disturbed(host);
         }
+        FaultKind::ResetUpstream { upstream, span } => world.reset_upstream(upstream, span).await,
         FaultKind::CutCentre { centre, span } => world.partition_centre(centre, span).await,
         FaultKind::LateOrders { share, span } => {
             set_for(&world.order_faults.late_share, share, 0.0, span).await;
@@ -205,6 +206,20 @@
         }
     }
 
+    /// Resets the connections of all hosts to an upstream for a time. Missing answers are not
+    /// attributed to it.
+    async fn reset_upstream(&self, upstream: usize, span: Duration) {
+        let set = |refusing| {
+            for host in 0..self.plan.site.hosts() {
+                let (from, to) = (Node::Host(host), Node::Upstream(upstream));
+                self.network.set_refusing(from, to, refusing);
+            }
+        };
+        set(true);
+        sleep(span).await;
+        set(false);
+    }
+
     async fn partition_centre(&self, centre: usize, span: Duration) {
         let hosts = (0..self.plan.site.hosts()).map(Node::Host);
         let upstreams = (0..self.plan.site.upstreams()).map(Node::Upstream);
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -226,3 +226,27 @@
         assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
     }
 }
+
+/// No upstream crashes, but two processes after one another may look as if they had.
+#[test]
+fn resets_of_connections_to_single_upstreams_fail_no_job() {
+    for seed in 0..seeds() {
+        let plan = Plan::small(seed);
+        let upstreams_each = 16;
+        let site = Site { upstreams_each, ..plan.site.clone() };
+        let count = site.centres * upstreams_each;
+        let reset = |index: usize| Fault {
+            at: Duration::from_millis(1_000 + 150 * index as u64),
+            kind: FaultKind::ResetUpstream {
+                upstream: (index * 7 + seed as usize) % count,
+                span: Duration::from_secs(3),
+            },
+        };
+        let faults = (0..40).map(reset).collect();
+
+        let verdict = simulate(&Plan { site, faults, ..plan });
+
+        assert!(count_events(&verdict.log, "runs_lost") > 0, "seed {seed}: no run was lost");
+        assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
+    }
+}
