--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -49,6 +49,13 @@
     pub how: Option<RunEnd>,
 }
 
+impl CompletedRun {
+    /// Returns whether it ended with the process of its upstream.
+    pub fn is_lost(&self) -> bool {
+        self.how.is_none()
+    }
+}
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 struct Running {
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -341,7 +341,7 @@
                 }
             }
             let losses: Vec<usize> =
-                (0..completed.len()).filter(|n| completed[*n].how.is_none()).collect();
+                (0..completed.len()).filter(|n| completed[*n].is_lost()).collect();
             most_losses = most_losses.max(losses.len());
             if let Some((most_losses, most_failures)) = causes.get_mut(&task.job) {
                 let failures = completed.iter().filter(|run| run.how == Some(RunEnd::Failed));
