Don't report jobs as failed because upstreams seem to crash under them

Cause: a run that was lost while its upstream refused connections counted as a proven crash if it had begun, alone, with no other upstream stopping at the same time. A path that resets the connections to single upstreams fulfils all of this, and the answer was given seconds before the upstreams answered again. In the logs of nine such jobs each of the losses was taken back later.

No observation of a dispatcher proves that a process ended under a run: a path that resets looks like a crash, and even a crash that is confirmed may have come after the run ended or expired unheard. So losses give a job up (504, may have run) after the same number of crashes as before, and only failures that upstreams report answer it as failed. Crashes are reported to other hosts as doubtful, so that a host of the release before doesn't report the job as failed either. The distinction between proven and doubtful crashes is gone.

--- a/crates/heathertrack/src/pool/loss.rs
+++ b/crates/heathertrack/src/pool/loss.rs
@@ -63,7 +63,8 @@
     pub started_ms: Option<u64>,
     /// What is known of its process.
     pub cause: LossCause,
-    /// Whether these runs may not have begun, or others may have caused the loss as well.
+    /// Whether it is not proven that the process was lost because of these runs; without a crash, that
+    /// it was lost for a cause common to several upstreams.
     pub is_doubtful: bool,
     /// The tasks of these runs, also those of jobs that have ended.
     pub tasks: Vec<Task>,
--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -12,7 +12,7 @@
 use super::durations::Durations;
 use super::job::{Id, Job, Outcome, Request};
 use super::order::Rank;
-use super::quarantine::{Quarantine, Verdict};
+use super::quarantine::Quarantine;
 use super::roster::Rosters;
 use super::run::{Run, RunState};
 use super::search::Holding;
@@ -286,23 +286,17 @@
         self.finish(key, Outcome::MayHaveRun(why), now);
     }
 
-    /// Ends a job if one of its tasks must not be started again, as upstreams were lost under it,
+    /// Gives up a job if one of its tasks must not be started again, as upstreams were lost under it,
     /// and notes which of its tasks are suspects otherwise. Returns whether the job has ended.
     fn check_losses(&mut self, key: JobKey, now: Time) -> bool {
         let Some(job) = self.jobs.get(key) else { return false };
         self.suspects.extend(self.quarantine.suspects(&job.request.id, now));
         let blocked = self.quarantine.blocked_task(&job.request.id, now);
-        let Some((task, verdict)) = blocked.map(|(task, verdict)| (task.clone(), verdict)) else {
-            return false;
-        };
+        let Some(task) = blocked.cloned() else { return false };
         let crashes = self.quarantine.count_crashes(&task);
         let evidence = self.quarantine.evidence(&task, now);
         self.effects.push(Effect::Log(Decision::TaskQuarantined { task, crashes, evidence }));
-        if verdict == Verdict::Crashing {
-            self.finish(key, Outcome::Failed, now);
-        } else {
-            self.give_up(key, "too many upstreams were lost under a task", now);
-        }
+        self.give_up(key, "too many upstreams were lost under a task", now);
         true
     }
 
--- a/crates/heathertrack/src/pool/machine/blame.rs
+++ b/crates/heathertrack/src/pool/machine/blame.rs
@@ -130,14 +130,12 @@
         let is_test = cause.is_crash() && is_alone && self.quarantine.is_in_step(&run.task);
         let stops = self.unrelated_stops(run, cause);
         if !is_test && stops >= self.min_common_stops(now) {
-            return Blame::Common;
+            Blame::Common
+        } else if cause.is_crash() {
+            Blame::Crash
+        } else {
+            Blame::Unknown
         }
-        if !cause.is_crash() {
-            return Blame::Unknown;
-        }
-        let is_only_suspect = is_alone || !self.quarantine.is_suspect(&run.task, now);
-        let is_proven = run.has_begun() && is_only_suspect && stops == 0;
-        if is_proven { Blame::Crash } else { Blame::Doubtful }
     }
 
     /// Returns how many other upstreams stopped at the same time and are not explained by the job of
--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -1,7 +1,11 @@
 //! Tasks whose runs were lost with the process of their upstream.
 //!
 //! Addresses the load pattern "a task crashes each upstream that starts it": such a task is not
-//! started again once two upstreams have crashed under it, however often its job is submitted.
+//! started again once two upstreams seem to have crashed under it, however often its job is submitted.
+//!
+//! No loss proves that a task can't be done: a network path that resets connections looks like a crash,
+//! and a run may have ended unheard just before its upstream crashed. So such a job is given up, and
+//! never reported as failed.
 
 use super::job::Id;
 use super::{Evidence, Loss, LossCause, Task};
@@ -10,8 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Number of upstreams that may crash under a task. After the first crash, any run on the upstream
-/// may have caused it; the users let a job be given up after the second one.
+/// Number of upstreams that may seem to crash under a task. After the first crash, any run on the
+/// upstream may have caused it; the users let a job be given up after the second one.
 const MAX_CRASHES: usize = 2;
 /// Number of upstreams that may be lost under a task that is blamed for it. A crash without a closed
 /// connection can't be told from a partition.
@@ -40,23 +44,19 @@
     Common,
     /// It may be the cause, but the upstream may as well be suspended or partitioned.
     Unknown,
-    /// The upstream crashed, but the run may not have begun, another one ran beside this suspect, or
-    /// another upstream crashed at the same time.
-    Doubtful,
-    /// The upstream crashed under its run.
+    /// The upstream seems to have crashed under its run, and the task may be the cause.
     Crash,
 }
 
 impl Blame {
     /// All values, in declaration order.
-    pub const ALL: [Blame; 4] = [Blame::Common, Blame::Unknown, Blame::Doubtful, Blame::Crash];
+    pub const ALL: [Blame; 3] = [Blame::Common, Blame::Unknown, Blame::Crash];
 
     /// Returns the name for logs.
     fn name(self) -> &'static str {
         match self {
             Blame::Common => "common",
             Blame::Unknown => "unknown",
-            Blame::Doubtful => "doubtful",
             Blame::Crash => "crash",
         }
     }
@@ -64,20 +64,20 @@
     /// Returns what a report of a loss says about its tasks.
     fn of_report(report: &Loss) -> Self {
         match (report.cause.is_crash(), report.is_doubtful) {
+            (true, _) => Blame::Crash,
             (false, true) => Blame::Common,
             (false, false) => Blame::Unknown,
-            (true, true) => Blame::Doubtful,
-            (true, false) => Blame::Crash,
         }
     }
 
-    /// Returns the report of the loss of a process to other dispatchers.
+    /// Returns the report of the loss of a process to other dispatchers. Those of an earlier release
+    /// would report a job as failed for crashes that are not marked as doubtful.
     pub fn report(self, (upstream, started_ms): Process, tasks: Vec<Task>) -> Loss {
         let cause = match self {
             Blame::Common | Blame::Unknown => LossCause::Unresponsive,
-            Blame::Doubtful | Blame::Crash => LossCause::Refused,
+            Blame::Crash => LossCause::Refused,
         };
-        let is_doubtful = matches!(self, Blame::Common | Blame::Doubtful);
+        let is_doubtful = matches!(self, Blame::Common | Blame::Crash);
         Loss { upstream, started_ms, cause, is_doubtful, tasks }
     }
 }
@@ -87,12 +87,10 @@
 pub(super) enum Verdict {
     /// It may be started.
     Clear,
-    /// An upstream crashed under it, and it may be the cause.
+    /// An upstream seems to have crashed under it, and it may be the cause.
     Suspect,
-    /// Too many upstreams were lost under it, but it isn't proven that they crashed under it.
+    /// Too many upstreams were lost under it, so it must not be started again.
     Lost,
-    /// Upstreams crashed under it, so it must not be started again.
-    Crashing,
 }
 
 /// Record of the loss of a process under one task.
@@ -123,12 +121,10 @@
     }
 
     fn verdict(&self, now: Time) -> Verdict {
-        let (crashes, blamed) = (self.count(Blame::Doubtful), self.count(Blame::Unknown));
+        let (crashes, blamed) = (self.count(Blame::Crash), self.count(Blame::Unknown));
         let is_in_step = self.is_in_step();
         if now.since(self.last_loss) > RETENTION {
             Verdict::Clear
-        } else if self.count(Blame::Crash) >= MAX_CRASHES {
-            Verdict::Crashing
         } else if crashes >= MAX_CRASHES
             || blamed >= MAX_LOSSES
             || (is_in_step && blamed > 0)
@@ -175,7 +171,7 @@
             }
             // Reports of one loss may come again and again.
             if before.is_none_or(|before| before < blame)
-                && entry.count(Blame::Doubtful) >= MAX_CRASHES
+                && entry.count(Blame::Crash) >= MAX_CRASHES
             {
                 self.last_conviction = Some(now);
             }
@@ -245,12 +241,10 @@
         of_job.map(move |(task, entry)| (task, entry.verdict(now)))
     }
 
-    /// Returns the task of a job with the worst verdict, if any of its tasks must not be started.
-    pub fn blocked_task(&self, job: &Id, now: Time) -> Option<(&Task, Verdict)> {
-        let verdicts = self.verdicts(job, now);
-        verdicts
-            .filter(|(_, verdict)| *verdict >= Verdict::Lost)
-            .max_by_key(|(_, verdict)| *verdict)
+    /// Returns the first task of a job that must not be started, if there is one.
+    pub fn blocked_task(&self, job: &Id, now: Time) -> Option<&Task> {
+        let mut verdicts = self.verdicts(job, now);
+        verdicts.find(|(_, verdict)| *verdict == Verdict::Lost).map(|(task, _)| task)
     }
 
     /// Returns whether a task has so many common losses that it runs alone.
@@ -263,7 +257,7 @@
         self.entries.get(task).is_some_and(|entry| entry.verdict(now) >= Verdict::Suspect)
     }
 
-    /// Returns how many upstreams are proven to have crashed under a task.
+    /// Returns how many upstreams seem to have crashed under a task.
     pub fn count_crashes(&self, task: &Task) -> usize {
         self.entries.get(task).map_or(0, |entry| entry.count(Blame::Crash))
     }
--- a/crates/heathertrack_cli/src/explain.rs
+++ b/crates/heathertrack_cli/src/explain.rs
@@ -71,12 +71,14 @@
             None => format!("refused: {}", text(line, "why")),
         };
     }
-    if let (Some(line), Some(quarantined)) = (last("job_failed"), last("task_quarantined")) {
+    if let (Some(line), Some(quarantined)) = (last("job_unfinished"), last("task_quarantined")) {
         return format!(
-            "failed after {} ms: {} upstreams crashed under task {}, which is not started again",
+            "given up after {} ms: {} upstreams were lost under task {}, {} of them as by a crash, \
+             and it is not started again",
             number(line, "age_ms"),
-            number(quarantined, "crashes"),
+            number(quarantined, "losses"),
             text(quarantined, "task"),
+            number(quarantined, "crashes"),
         );
     }
     if let Some(line) = last("job_failed") {
