Acknowledge ends only while the process lists some

An upstream that restarts under its name counts its ends from one again. Idle upstreams are polled every 5 s, so a run could be ordered from a new process before any list showed it.

A poll now acknowledges ends only if the last answer listed some, and none once an order or a poll has failed since. Ends that are acknowledged later than that are listed again, and ignored as before.

Guarded by process::the_end_of_a_run_is_not_acknowledged_by_the_number_of_an_earlier_process, which failed before: the job was not completed.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -290,6 +290,7 @@
             let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
             upstream.stopped_jobs = runs.map(|run| run.task.job.clone()).collect();
             upstream.poll_due = now;
+            upstream.has_ends_to_acknowledge = false;
             self.log_upstream_state(key, "does not respond", now);
         }
     }
@@ -373,7 +374,7 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let lease_end_ms = if renews_lease { upstream.renew_lease(lease, now) } else { None };
         upstream.polls_in_flight += 1;
-        let acknowledged = upstream.acknowledged;
+        let acknowledged = upstream.acknowledgement();
         // The owner renews a released upstream while it has runs there.
         let is_renewed_by_owner = upstream.ownership == Ownership::Released
             && upstream.foreign.has_strays
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -89,7 +89,7 @@
     /// Unix time in milliseconds at which the process that last answered started; before the first
     /// answer, that of the record.
     pub started_ms: Option<u64>,
-    /// Sequence number up to which ends are acknowledged.
+    /// Sequence number up to which listed ends have been handled.
     pub acknowledged: u64,
     /// Listed ends that are not acknowledged yet, by sequence number. The value is the time at
     /// which the end of an unknown run was first listed, and [`Time::ZERO`] for the end of a run of
@@ -127,7 +127,8 @@
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
     pub no_starts_until: Time,
-    /// Whether the last list contained ends, which have to be acknowledged.
+    /// Whether the last list contained ends, which have to be acknowledged, and no order or poll has
+    /// failed since.
     pub has_ends_to_acknowledge: bool,
     /// When it last answered.
     pub last_answer: Time,
@@ -203,6 +204,13 @@
         is_newest
     }
 
+    /// Returns up to which sequence number the next poll acknowledges ends; zero unless the last answer
+    /// listed some. The process may have been replaced since, and a new one counts its ends from the
+    /// start.
+    pub fn acknowledgement(&self) -> u64 {
+        if self.has_ends_to_acknowledge { self.acknowledged } else { 0 }
+    }
+
     /// Returns what is known of the process with which the runs here were lost, as another one has
     /// answered. The process may have ended after the lease of the runs.
     pub fn replacement_cause(&self, now: Time) -> LossCause {
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -13,6 +13,8 @@
 
 #[path = "pool/blame.rs"]
 mod blame;
+#[path = "pool/process.rs"]
+mod process;
 
 /// CPU of a task, in thousandths of a core. Two such tasks fit on an upstream, three do not.
 const TASK_CPU: u32 = 6_800;
