Count on the longest lease after an unnoticed restart

The end of a lease is a time of the upstream's clock. If an idle upstream restarts under its name between two polls, 5 s apart, its clock starts anew, and an order by the former clock asks for a lease of hours, which is shortened to 1,000 ms. The dispatcher took a run there for over 714 ms after its order, while it could run on for up to 1,021 ms: its task could run twice at once (TWICE) if the path to the upstream was lost within that time.

An answer whose clock is lower than the known process's clock can be comes from another process: the lease counts as the longest one, and no ends are acknowledged until a list comes. A start without an answer, over 1 s after the last one of its upstream, counts as granted that lease as well. Polls renew nothing by a reading that old. 1 s is less than upstreams need to be back after a crash ("some seconds").

Guarded by process::a_run_on_a_process_that_restarted_unnoticed_is_not_over_before_the_longest_lease (before: started again at 5,720 ms instead of 6,030) and process::a_poll_renews_no_lease_by_an_old_clock_after_an_order_without_an_answer (before: one renewal).

Two fixtures of tests (pool::crash, blame::begin) answered starts with a clock that stood still for seconds, which no upstream may show (2% slow at most) and which now means another process. They show a clock that moves; what the tests check is unchanged.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -365,11 +365,13 @@
         // A run whose stops get no answer ends only when the lease of its upstream expires. No
         // lease is renewed after a failed poll either: if only the answers are lost, runs that go
         // on unseen have to end. Unless the network is partitioned, the next poll is answered, and
-        // renewals resume, well before the lease expires.
+        // renewals resume, well before the lease expires. The same holds after an order to an upstream
+        // that may have restarted.
         let renews_lease = busy
             && upstream.ownership != Ownership::Acquiring
             && !upstream.foreign.has_strays
             && upstream.failed_polls == 0
+            && !upstream.may_have_restarted(now)
             && !upstream.runs.iter().any(has_max_unanswered_stops);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let lease_end_ms = if renews_lease { upstream.renew_lease(lease, now) } else { None };
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -3,6 +3,7 @@
 use crate::pool::job::Outcome;
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
+use crate::pool::upstream::max_lease_expiry;
 use crate::pool::{
     Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
     UpstreamKey,
@@ -36,7 +37,12 @@
         let upstream_key = run.upstream;
         if let (Some(clock_ms), Some(upstream)) = (clock_ms, self.upstreams.get_mut(upstream_key)) {
             upstream.record_clock(clock_ms, now);
+            if run.may_have_restarted && clock_ms < run.min_clock_ms {
+                upstream.on_other_process(now);
+                self.log_upstream_state(upstream_key, "another process took an order", now);
+            }
         }
+        let Some(run) = self.runs.get_mut(key) else { return };
         match answer {
             StartAnswer::Running => {
                 run.seen_at = Some(now);
@@ -76,6 +82,9 @@
                 self.discard_run(key, 0);
             }
             StartAnswer::Unknown => {
+                if run.may_have_restarted {
+                    run.unanswered_until = max_lease_expiry(now);
+                }
                 self.mark_unresponsive(upstream_key, now);
                 if self.options.stop_unanswered_starts {
                     self.stop(key);
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -154,6 +154,8 @@
         let lease = self.options.lease;
         let max_sharing_time = lease.mul_f64(SLOW_CLOCK_FACTOR) + self.max_sharing_time();
         let Some(upstream) = self.upstreams.get_mut(upstream_key) else { return false };
+        let Some(min_clock_ms) = upstream.min_clock_ms(now) else { return false };
+        let may_have_restarted = upstream.may_have_restarted(now);
         let Some(lease_end_ms) = upstream.renew_lease(lease, now) else { return false };
         let Some(job) = self.jobs.get_mut(key) else { return false };
         job.has_started = true;
@@ -180,6 +182,9 @@
             seen_at: None,
             competitor_may_renew: self.has_competitors,
             shared_until: if is_shared { now + max_sharing_time } else { Time::ZERO },
+            min_clock_ms,
+            may_have_restarted,
+            unanswered_until: Time::ZERO,
             unanswered_stops: 0,
             percent: 0,
             progressed_at: now,
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -92,7 +92,7 @@
     fn end_expired_runs(&mut self, now: Time) {
         let is_expired = |(_, run): &(RunKey, &Run)| {
             let Some(upstream) = self.upstreams.get(run.upstream) else { return true };
-            now > upstream.lease_expiry.max(run.shared_until)
+            now > upstream.lease_expiry.max(run.shared_until).max(run.unanswered_until)
                 && (!run.competitor_may_renew || upstream.missing_since.is_some())
         };
         let mut expired: BTreeMap<UpstreamKey, Vec<RunKey>> = BTreeMap::new();
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -74,6 +74,13 @@
     /// Time until which hosts with a link may have renewed that lease before their lists showed this
     /// run.
     pub shared_until: Time,
+    /// Lowest value that the clock of the known process could show when the run was ordered, in
+    /// milliseconds. An answer with a lower one comes from another process.
+    pub min_clock_ms: u64,
+    /// Whether another process may have taken the place of the known one before the run was ordered.
+    pub may_have_restarted: bool,
+    /// Time until which such a process may run it, if the order has no answer.
+    pub unanswered_until: Time,
     /// Number of unanswered orders to stop it.
     pub unanswered_stops: u32,
     /// Share of its work that was done when it was last listed, in percent.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -48,6 +48,15 @@
 /// Factor by which a lease lasts longer on the dispatcher's clock if the upstream's runs slowest.
 pub(super) const SLOW_CLOCK_FACTOR: f64 = 1.0 / MIN_CLOCK_RATE;
 
+/// Longest lease that an upstream grants (`hold_max_ms`). A process that has replaced the known one
+/// shortens the lease of an order to this, as its clock starts anew and the order's end of the lease is
+/// a time of the former clock.
+const MAX_LEASE: Duration = Duration::from_millis(1_000);
+
+/// Least time from the last answer of a process until another one can take orders in its place: an
+/// upstream that crashed is back after some seconds.
+const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time until a change of an upstream's capacity is known from its record, which it writes
 /// every 1.5 s and dispatchers read about once a second.
 const RECORD_DELAY: Duration = Duration::from_millis(2_500);
@@ -80,6 +89,12 @@
     Owned,
 }
 
+/// Returns when a lease has expired for certain that a process has granted by `now`, whatever end of it
+/// was asked for.
+pub(super) fn max_lease_expiry(now: Time) -> Time {
+    now + MAX_LEASE.mul_f64(SLOW_CLOCK_FACTOR)
+}
+
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub record: Record,
@@ -204,6 +219,17 @@
         is_newest
     }
 
+    /// Returns whether another process may have taken the place of the known one unnoticed.
+    pub fn may_have_restarted(&self, now: Time) -> bool {
+        now.since(self.last_answer) > MIN_RESTART_TIME
+    }
+
+    /// Handles an answer by another process than the known one to an order that renewed the lease.
+    pub fn on_other_process(&mut self, now: Time) {
+        self.lease_expiry = self.lease_expiry.max(max_lease_expiry(now));
+        self.has_ends_to_acknowledge = false;
+    }
+
     /// Returns up to which sequence number the next poll acknowledges ends; zero unless the last answer
     /// listed some. The process may have been replaced since, and a new one counts its ends from the
     /// start.
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -31,6 +31,11 @@
     Time::from_millis(ms)
 }
 
+/// Returns the clock of an upstream at `ms` whose last list, at 91 ms, showed 5,000 ms.
+fn clock_ms(ms: u64) -> u64 {
+    5_000 + ms - 91
+}
+
 fn record(name: &str) -> Record {
     Record {
         name: Upstream::new(name),
@@ -613,7 +618,7 @@
 /// Crashes the upstream of a run that has begun, at `ms`: it refuses connections until its lease has
 /// expired, 720 ms later.
 fn crash(pool: &mut Pool, (upstream, run, ..): &Started, ms: u64) {
-    pool.on_start_answer(*run, StartAnswer::Running, Some(5_001), at(ms - 5));
+    pool.on_start_answer(*run, StartAnswer::Running, Some(clock_ms(ms - 5)), at(ms - 5));
     pool.on_poll_failed(*upstream, PollFailure::Refused, at(ms));
     pool.tick(at(ms + 720));
 }
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -1,8 +1,8 @@
 //! Which tasks count as the cause when upstreams are lost under them.
 
 use super::{
-    OWNED, SIXTEEN, Started, at, listing, losses, outcome, patient_job, polls, pool, record,
-    reports, starts,
+    OWNED, SIXTEEN, Started, at, clock_ms, listing, losses, outcome, patient_job, polls, pool,
+    record, reports, starts,
 };
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
@@ -17,7 +17,7 @@
 /// Confirms that these runs have begun.
 fn begin(pool: &mut Pool, started: &[Started], ms: u64) {
     for (_, run, ..) in started {
-        pool.on_start_answer(*run, StartAnswer::Running, Some(5_001), at(ms));
+        pool.on_start_answer(*run, StartAnswer::Running, Some(clock_ms(ms)), at(ms));
     }
 }
 
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -1,9 +1,9 @@
 //! Which process of an upstream a run belongs to, where processes follow each other under one name.
 
-use super::{at, end, job, listing, outcome, patient_job, pool, starts};
+use super::{at, clock_ms, end, job, listing, outcome, patient_job, polls, pool, renewals, starts};
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{
-    Effect, EndedRun, Listing, Pool, RunEnd, RunningRun, StartAnswer, UpstreamKey,
+    Effect, EndedRun, Listing, PollFailure, Pool, RunEnd, RunningRun, StartAnswer, UpstreamKey,
 };
 
 /// Unix time at which the second process of an upstream started, in milliseconds.
@@ -68,3 +68,48 @@
     assert_eq!(after_acknowledgement, Some(Outcome::Completed));
     assert_eq!(before_acknowledgement, Some(Outcome::Completed));
 }
+
+/// Orders a run at 5,000 ms from an upstream that last answered at 91 ms and has restarted since, and
+/// passes on this answer and clock at 5,005 ms. Then the upstream answers no more. Returns when the
+/// task is started on the other upstream, on a grid of 10 ms.
+fn restarted_ms(answer: StartAnswer, clock_ms: Option<u64>) -> u64 {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(5_000));
+    let (upstream, run, ..) = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(run, answer, clock_ms, at(5_005));
+    pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(5_070));
+    let is_started = |ms: &u64| {
+        pool.tick(at(*ms));
+        !starts(&pool.take_effects()).is_empty()
+    };
+    (5_070..8_000).step_by(10).find(is_started).unwrap_or_default()
+}
+
+/// A lease on the clock of the former process ends far in the future of the new one, which shortens it
+/// to 1,000 ms. Its clock may be 2% slow.
+#[test]
+fn a_run_on_a_process_that_restarted_unnoticed_is_not_over_before_the_longest_lease() {
+    let restarted = restarted_ms(StartAnswer::Running, Some(300));
+    let unanswered = restarted_ms(StartAnswer::Unknown, None);
+    let same_process = restarted_ms(StartAnswer::Running, Some(clock_ms(5_005)));
+
+    assert_eq!(restarted, 6_030);
+    assert_eq!(unanswered, 6_030);
+    assert_eq!(same_process, 5_720);
+}
+
+/// The order to start and the poll are on their way when the upstream has restarted.
+#[test]
+fn a_poll_renews_no_lease_by_an_old_clock_after_an_order_without_an_answer() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("j"), at(5_000));
+    let (_, run, ..) = starts(&pool.take_effects()).remove(0);
+
+    pool.on_start_answer(run, StartAnswer::Unknown, None, at(5_030));
+    let effects = pool.take_effects();
+    pool.tick(at(5_031));
+    let polled = pool.take_effects();
+
+    assert_eq!(polls(&effects).len() + polls(&polled).len(), 1);
+    assert_eq!(renewals(&effects) + renewals(&polled), 0);
+}
