Record lost runs under the process of each

All runs that were lost with an upstream at once were recorded, reported and logged under the process of the first one. Where the upstream had restarted in between, the loss of a run of the new process stood under the former one.

Each process is now recorded by itself.

Guarded by process::runs_of_two_processes_that_are_lost_at_once_are_recorded_under_their_own, which failed before (both tasks under the first process).

--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -8,7 +8,7 @@
     Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
     UpstreamKey,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Pause of starts on an upstream that refused one for want of capacity while runs of another
@@ -203,7 +203,7 @@
         }
     }
 
-    /// Ends runs that were lost with the process of their upstream.
+    /// Ends runs that were lost with their upstream, possibly with several of its processes.
     pub(super) fn lose_runs(
         &mut self,
         key: UpstreamKey,
@@ -211,6 +211,34 @@
         cause: LossCause,
         how: RunEnd,
         now: Time,
+    ) {
+        let jobs: BTreeSet<JobKey> =
+            runs.iter().filter_map(|run| self.runs.get(*run)?.job).collect();
+        let mut processes: BTreeMap<Option<u64>, Vec<RunKey>> = BTreeMap::new();
+        for run in &runs {
+            if let Some(started_ms) = self.runs.get(*run).map(|run| run.process_started_ms) {
+                processes.entry(started_ms).or_default().push(*run);
+            }
+        }
+        for (started_ms, runs) in processes {
+            self.record_loss(key, started_ms, &runs, cause, now);
+        }
+        for run in runs {
+            self.end_run(run, how, now);
+        }
+        for job in jobs {
+            self.check_losses(job, now);
+        }
+    }
+
+    /// Records the loss of one process of an upstream with these runs.
+    fn record_loss(
+        &mut self,
+        key: UpstreamKey,
+        started_ms: Option<u64>,
+        runs: &[RunKey],
+        cause: LossCause,
+        now: Time,
     ) {
         let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
         let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
@@ -221,28 +249,17 @@
             seen_age: run.seen_at.map(|at| now.since(at)),
         };
         let lost_runs: Vec<LostRun> = lost().map(lost_run).collect();
-        let started_ms = lost().next().and_then(|run| run.process_started_ms);
-        let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
-        if let Some(upstream) = self.upstreams.get(key)
-            && !tasks.is_empty()
-        {
-            let age = now.since(upstream.last_answer);
-            let upstream = upstream.record.name.clone();
-            let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
-            let stopped_with_it = self.count_stopped_with(key, cause);
-            if cause != LossCause::Left {
-                self.blame_tasks(key, &runs, &loss, now);
-            }
-            let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
-            self.effects.push(Effect::Log(lost));
-        }
-        for run in runs {
-            self.end_run(run, how, now);
-        }
-        for job in jobs {
-            self.check_losses(job, now);
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let age = now.since(upstream.last_answer);
+        let upstream = upstream.record.name.clone();
+        let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
+        let stopped_with_it = self.count_stopped_with(key, cause);
+        if cause != LossCause::Left {
+            self.blame_tasks(key, runs, &loss, now);
         }
+        let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
+        self.effects.push(Effect::Log(lost));
     }
 
     /// Handles another dispatcher's report of a loss.
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -1,6 +1,9 @@
 //! Which process of an upstream a run belongs to, where processes follow each other under one name.
 
-use super::{at, clock_ms, end, job, listing, outcome, patient_job, polls, pool, renewals, starts};
+use super::{
+    UPSTREAM_STARTED_MS, at, clock_ms, end, job, listing, outcome, patient_job, polls, pool,
+    renewals, reports, starts,
+};
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{
     Effect, EndedRun, Listing, PollFailure, Pool, RunEnd, RunningRun, StartAnswer, UpstreamKey,
@@ -113,3 +116,30 @@
     assert_eq!(polls(&effects).len() + polls(&polled).len(), 1);
     assert_eq!(renewals(&effects) + renewals(&polled), 0);
 }
+
+/// Lets an upstream refuse connections from `ms` until the leases of its runs have expired.
+fn refuse(pool: &mut Pool, upstream: UpstreamKey, ms: u64) -> Vec<Effect> {
+    pool.on_poll_failed(upstream, PollFailure::Refused, at(ms));
+    pool.tick(at(ms + 1_100));
+    pool.take_effects()
+}
+
+#[test]
+fn runs_of_two_processes_that_are_lost_at_once_are_recorded_under_their_own() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("first"), at(100));
+    let (upstream, run, first, _) = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(run, StartAnswer::Running, Some(clock_ms(101)), at(101));
+    // The answer to a poll that was sent before the first run doesn't prove that it is over.
+    pool.on_poll_answer(upstream, &second_listing(vec![], vec![]), at(99), at(110));
+    pool.submit(patient_job("second"), at(111));
+    let (_, run, second, _) = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(run, StartAnswer::Running, Some(302), at(112));
+
+    let lost = reports(&refuse(&mut pool, upstream, 120));
+
+    let lost: Vec<_> = lost.into_iter().map(|loss| (loss.started_ms, loss.tasks)).collect();
+    let expected =
+        [(Some(UPSTREAM_STARTED_MS), vec![first]), (Some(SECOND_STARTED_MS), vec![second])];
+    assert_eq!(lost, expected);
+}
