Assign runs to the process that lists them

A run kept the process from which it was ordered, also if an unnoticed restart let the next process of the upstream take the order. When that one was lost or refused connections, the loss stood under the former process and was never taken back; and a run that the new process had listed, and that a later list didn't show, counted as lost by the crash of the former one ("replaced", a proven crash under the task) although nothing had crashed.

A list now assigns its runs to its process. A run that another process than the known one has answered, by its clock, belongs to none until a list shows it; until then its loss is logged, but blames no task.

Guarded by three tests of process, which failed before: a_run_that_the_new_process_has_listed_is_not_lost_with_the_former_one ("Replaced" was logged), the_loss_of_a_process_that_restarted_unnoticed_is_taken_back_when_it_answers_again (the loss stayed) and the_loss_of_a_process_that_no_list_has_shown_blames_no_task (it stood under the former process).

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -117,6 +117,7 @@
             seen.push(run_key);
             let Some(run) = self.runs.get_mut(run_key) else { continue };
             run.seen_at = Some(now);
+            run.process_started_ms = Some(listing.started_ms);
             if run.state == RunState::Starting {
                 run.state = RunState::Running;
                 run.absence_proves_end_at = Some(now);
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -39,6 +39,9 @@
             upstream.record_clock(clock_ms, now);
             if run.may_have_restarted && clock_ms < run.min_clock_ms {
                 upstream.on_other_process(now);
+                if !run.has_begun() {
+                    run.process_started_ms = None;
+                }
                 self.log_upstream_state(upstream_key, "another process took an order", now);
             }
         }
@@ -255,7 +258,8 @@
         let upstream = upstream.record.name.clone();
         let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
         let stopped_with_it = self.count_stopped_with(key, cause);
-        if cause != LossCause::Left {
+        // The loss of an unknown process couldn't be taken back when it answers again.
+        if cause != LossCause::Left && started_ms.is_some() {
             self.blame_tasks(key, runs, &loss, now);
         }
         let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -50,8 +50,9 @@
     /// `None` once the job has ended.
     pub job: Option<JobKey>,
     pub upstream: UpstreamKey,
-    /// Unix time of the start of the upstream's process in milliseconds, as known when the run was
-    /// ordered.
+    /// Unix time of the start of the upstream's process in milliseconds: of the one that has listed the
+    /// run, and before that, of the one it was ordered from. `None` if another one has answered that
+    /// order, and no list has shown which.
     pub process_started_ms: Option<u64>,
     pub needs: Needs,
     pub state: RunState,
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -1,12 +1,13 @@
 //! Which process of an upstream a run belongs to, where processes follow each other under one name.
 
 use super::{
-    UPSTREAM_STARTED_MS, at, clock_ms, end, job, listing, outcome, patient_job, polls, pool,
-    renewals, reports, starts,
+    Started, UPSTREAM_STARTED_MS, at, clock_ms, end, job, listing, losses, outcome, patient_job,
+    polls, pool, renewals, reports, starts,
 };
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{
-    Effect, EndedRun, Listing, PollFailure, Pool, RunEnd, RunningRun, StartAnswer, UpstreamKey,
+    Effect, EndedRun, Listing, LossCause, PollFailure, Pool, RunEnd, RunningRun, StartAnswer,
+    UpstreamKey,
 };
 
 /// Unix time at which the second process of an upstream started, in milliseconds.
@@ -143,3 +144,51 @@
         [(Some(UPSTREAM_STARTED_MS), vec![first]), (Some(SECOND_STARTED_MS), vec![second])];
     assert_eq!(lost, expected);
 }
+
+/// Returns a dispatcher with a run that was ordered from the first process of an idle upstream, and is
+/// answered by the second one at 5,005 ms.
+fn started_on_second() -> (Pool, Started) {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("j"), at(5_000));
+    let started = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(started.1, StartAnswer::Running, Some(300), at(5_005));
+    pool.take_effects();
+    (pool, started)
+}
+
+#[test]
+fn the_loss_of_a_process_that_restarted_unnoticed_is_taken_back_when_it_answers_again() {
+    let (mut pool, (upstream, _, task, number)) = started_on_second();
+    let row = RunningRun { task, number, percent: 10 };
+    pool.on_poll_answer(upstream, &second_listing(vec![row], vec![]), at(5_006), at(5_010));
+    refuse(&mut pool, upstream, 5_020);
+    let lost = pool.quarantined_tasks(at(6_120));
+
+    pool.on_poll_answer(upstream, &second_listing(vec![], vec![]), at(7_000), at(7_001));
+
+    assert_eq!((lost, pool.quarantined_tasks(at(7_001))), (1, 0));
+}
+
+/// Without a list it isn't known which process was lost, so its answer couldn't take the loss back.
+#[test]
+fn the_loss_of_a_process_that_no_list_has_shown_blames_no_task() {
+    let (mut pool, (upstream, ..)) = started_on_second();
+
+    let effects = refuse(&mut pool, upstream, 5_020);
+
+    assert_eq!(losses(&effects), [(LossCause::Refused, 1)]);
+    assert_eq!(reports(&effects), []);
+    assert_eq!(pool.quarantined_tasks(at(6_120)), 0);
+}
+
+/// A list is missing the run, as its end was acknowledged by another dispatcher.
+#[test]
+fn a_run_that_the_new_process_has_listed_is_not_lost_with_the_former_one() {
+    let (mut pool, (upstream, _, task, number)) = started_on_second();
+    let row = RunningRun { task, number, percent: 10 };
+    pool.on_poll_answer(upstream, &second_listing(vec![row], vec![]), at(5_006), at(5_010));
+
+    pool.on_poll_answer(upstream, &second_listing(vec![], vec![]), at(5_011), at(5_020));
+
+    assert_eq!(losses(&pool.take_effects()), []);
+}
