Ignore another address in a record without a later start

A record of another writer that gives an upstream another address was recognized only if it stated the exact start of the process that had answered. One without a start, or with an earlier one, took effect: polls and orders went to the false address, and if another process answers there (421), the runs that went on at the true address counted as over and as crashed under their tasks; they were started again (TWICE, and LOST after two of them).

Upstreams always state their start, and a process that starts later states a later one. A record with another address and no later start now contradicts the process that has answered. If the clock of the upstream's host was set back before a restart elsewhere, its record is used as soon as the former process doesn't answer and has no runs left.

Guarded by records::false_address_with_an_earlier_start_or_none_is_not_used, which failed before (the false address was used), and records::address_with_an_earlier_start_is_used_once_the_former_process_is_gone.

--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -276,12 +276,12 @@
         self.capacity.without(&self.used)
     }
 
-    /// Returns whether a record gives another address to the process that has answered at the known
-    /// one. A process keeps its address, so another writer left the record; orders sent there would
-    /// be answered as if the process were gone.
+    /// Returns whether a record gives another address, but no later start, than the process that has
+    /// answered at the known one. A process keeps its address and states its start, so another writer
+    /// left the record; orders sent there would be answered as if the process were gone.
     pub fn is_contradicted_by(&self, record: &Record) -> bool {
         self.clock.is_some()
-            && record.started_ms == self.started_ms
+            && record.started_ms <= self.started_ms
             && record.address != self.record.address
     }
 
--- a/crates/heathertrack/tests/records.rs
+++ b/crates/heathertrack/tests/records.rs
@@ -4,7 +4,7 @@
 use heathertrack::name::{DataCentre, Upstream};
 use heathertrack::pool::job::Needs;
 use heathertrack::pool::upstream::Record;
-use heathertrack::pool::{Effect, Listing, Options, Pool, UpstreamKey};
+use heathertrack::pool::{Effect, Listing, Options, PollFailure, Pool, UpstreamKey};
 
 fn record(address: &str, started_ms: Option<u64>) -> Record {
     Record {
@@ -39,6 +39,14 @@
     (pool, upstream.expect("the upstream is polled"))
 }
 
+fn polls(effects: &[Effect]) -> Vec<UpstreamKey> {
+    let poll = |effect: &Effect| match effect {
+        Effect::Poll { upstream, .. } => Some(*upstream),
+        _ => None,
+    };
+    effects.iter().filter_map(poll).collect()
+}
+
 fn address(pool: &Pool, upstream: UpstreamKey) -> String {
     pool.upstream_address(upstream).map(|(_, address)| address).unwrap_or_default()
 }
@@ -55,6 +63,39 @@
     assert!(pool.load(at(20)).cores > 0.0);
 }
 
+/// Another process answers at a false address, after which live runs would count as lost.
+#[test]
+fn false_address_with_an_earlier_start_or_none_is_not_used() {
+    for started_ms in [None, Some(0)] {
+        let (mut pool, upstream) = pool();
+
+        pool.update_upstream(record("10.0.0.2:80", started_ms), true, at(10));
+
+        assert_eq!(address(&pool, upstream), "10.0.0.1:80", "{started_ms:?}");
+    }
+}
+
+/// The clock of an upstream's host was set back before its process started again, elsewhere.
+#[test]
+fn address_with_an_earlier_start_is_used_once_the_former_process_is_gone() {
+    let (mut pool, _) = pool();
+    let restarted = record("10.0.0.2:80", Some(0));
+    pool.update_upstream(restarted.clone(), true, at(10));
+
+    // The upstream is polled 5 s after its last answer.
+    for ms in (5_000..5_200).step_by(10) {
+        for polled in polls(&pool.take_effects()) {
+            pool.on_poll_failed(polled, PollFailure::Refused, at(ms));
+        }
+        pool.tick(at(ms));
+    }
+    pool.update_upstream(restarted, true, at(5_200));
+
+    let polled = polls(&pool.take_effects());
+    let addresses: Vec<String> = polled.iter().map(|key| address(&pool, *key)).collect();
+    assert_eq!(addresses, ["10.0.0.2:80"]);
+}
+
 #[test]
 fn address_of_a_process_that_started_later_is_used() {
     let (mut pool, upstream) = pool();
