Expect a new process once its record announces it

When the record of an upstream states a later start, the new process is polled at once; but until its first list, starts are still ordered by the clock of the former one, and their leases counted as 714 ms although the new process grants 1,000 ms of its own clock.

Such an upstream now counts as possibly restarted until it has listed its runs, like one whose last answer is over 1 s old.

Guarded by process::a_run_on_a_process_that_its_record_has_announced_is_not_over_before_the_longest_lease, which failed before (started again within the lease).

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -59,6 +59,7 @@
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.started_ms = Some(listing.started_ms);
+        upstream.restart_announced = false;
         upstream.listed_at = Some(now);
         self.handle_ends(key, &listing.ended, now);
         let seen = self.handle_running(key, listing, now);
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -36,6 +36,7 @@
         let was_draining = upstream.record.draining;
         upstream.set_record(record);
         upstream.missing_since = None;
+        upstream.restart_announced |= has_restarted;
         if upstream.record.draining && !was_draining {
             self.log_upstream_state(key, "drains", now);
         }
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -104,6 +104,8 @@
     /// Unix time in milliseconds at which the process that last answered started; before the first
     /// answer, that of the record.
     pub started_ms: Option<u64>,
+    /// Whether its record states a later start than that of the process that answered last.
+    pub restart_announced: bool,
     /// Sequence number up to which listed ends have been handled.
     pub acknowledged: u64,
     /// Listed ends that are not acknowledged yet, by sequence number. The value is the time at
@@ -165,6 +167,7 @@
             ownership: Ownership::Released,
             clock: None,
             started_ms,
+            restart_announced: false,
             acknowledged: 0,
             unacknowledged_ends: BTreeMap::new(),
             capacity,
@@ -221,7 +224,7 @@
 
     /// Returns whether another process may have taken the place of the known one unnoticed.
     pub fn may_have_restarted(&self, now: Time) -> bool {
-        now.since(self.last_answer) > MIN_RESTART_TIME
+        self.restart_announced || now.since(self.last_answer) > MIN_RESTART_TIME
     }
 
     /// Handles an answer by another process than the known one to an order that renewed the lease.
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -1,10 +1,11 @@
 //! Which process of an upstream a run belongs to, where processes follow each other under one name.
 
 use super::{
-    Started, UPSTREAM_STARTED_MS, at, clock_ms, end, job, listing, losses, outcome, patient_job,
-    polls, pool, renewals, reports, starts,
+    OWNED, Started, UPSTREAM_STARTED_MS, at, clock_ms, end, job, listing, losses, outcome,
+    patient_job, polls, pool, record, renewals, reports, starts,
 };
 use heathertrack::pool::job::Outcome;
+use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
     Effect, EndedRun, Listing, LossCause, PollFailure, Pool, RunEnd, RunningRun, StartAnswer,
     UpstreamKey,
@@ -102,6 +103,26 @@
     assert_eq!(same_process, 5_720);
 }
 
+/// Nothing is known of the new process's clock before its first list.
+#[test]
+fn a_run_on_a_process_that_its_record_has_announced_is_not_over_before_the_longest_lease() {
+    let mut pool = pool(&["u1", "u2"]);
+    for name in ["u1", "u2"] {
+        let restarted = Record { started_ms: Some(SECOND_STARTED_MS), ..record(name) };
+        pool.update_upstream(restarted, OWNED, at(95));
+    }
+    pool.submit(patient_job("j"), at(100));
+    let (upstream, run, ..) = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(run, StartAnswer::Unknown, None, at(105));
+    pool.on_poll_failed(upstream, PollFailure::NoAnswer, at(170));
+
+    pool.tick(at(1_120));
+    let early = starts(&pool.take_effects()).len();
+    pool.tick(at(1_130));
+
+    assert_eq!((early, starts(&pool.take_effects()).len()), (0, 1));
+}
+
 /// The order to start and the poll are on their way when the upstream has restarted.
 #[test]
 fn a_poll_renews_no_lease_by_an_old_clock_after_an_order_without_an_answer() {
