Lose no runs for an answer that another process addressed

The answer "not me" (421) by another process at an upstream's address ended all runs of the upstream at once, as crashed under their tasks, also if it answered an order sent to the upstream's former address, or one to an address at which the upstream had never answered (a false record with a later start). Runs that went on were started again elsewhere (TWICE), and blamed their tasks (LOST after two).

The pool now knows since when the process that answered last is known at the current address. A 421 to something sent before that changes nothing; one at an address without any answer makes the upstream unresponsive, and its runs are over once their lease has expired. An order to stop that is answered so is repeated while its run is left, and a start is discarded, as nothing was started.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -47,7 +47,7 @@
             None => upstream.clock.is_none(),
         };
         upstream.record_clock(listing.clock_ms, now);
-        if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
+        if upstream.record_process(listing.started_ms, sent, now) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
             self.log_upstream_state(key, "process restarted", now);
@@ -58,8 +58,6 @@
             }
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        upstream.started_ms = Some(listing.started_ms);
-        upstream.restart_announced = false;
         upstream.listed_at = Some(now);
         self.handle_ends(key, &listing.ended, now);
         let seen = self.handle_running(key, listing, now);
@@ -269,10 +267,19 @@
         self.place(now);
     }
 
-    /// Handles an answer by another process at the upstream's address: the upstream's process is
-    /// gone, and all its runs with it.
-    pub fn on_process_replaced(&mut self, key: UpstreamKey, now: Time) {
+    /// Handles an answer by another process to an order or a poll that was sent at `sent`: the
+    /// upstream's process is gone, and all its runs with it. That isn't proven if the process has
+    /// answered after `sent` for the first time, or never at this address.
+    pub fn on_process_replaced(&mut self, key: UpstreamKey, sent: Time, now: Time) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let known_since = upstream.known_since;
+        if known_since.is_some_and(|since| sent < since) {
+            return;
+        }
         self.mark_unresponsive(key, now);
+        if known_since.is_none() {
+            return;
+        }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause(now));
         upstream.clock = None;
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -78,7 +78,10 @@
                 self.discard_run(key, 0);
             }
             StartAnswer::Replaced => {
-                self.on_process_replaced(upstream_key, now);
+                let sent = run.ordered_at;
+                self.on_process_replaced(upstream_key, sent, now);
+                // Unless it was lost: nothing was started.
+                self.discard_run(key, 0);
             }
             StartAnswer::Unsent => {
                 self.mark_unresponsive(upstream_key, now);
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -34,7 +34,7 @@
             && upstream.started_ms.is_some()
             && record.started_ms > upstream.started_ms;
         let was_draining = upstream.record.draining;
-        upstream.set_record(record);
+        upstream.set_record(record, now);
         upstream.missing_since = None;
         upstream.restart_announced |= has_restarted;
         if upstream.record.draining && !was_draining {
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -104,6 +104,10 @@
     /// Unix time in milliseconds at which the process that last answered started; before the first
     /// answer, that of the record.
     pub started_ms: Option<u64>,
+    /// When its record first gave the current address.
+    pub address_since: Time,
+    /// When the process that answered last first listed its runs at the current address, if it has.
+    pub known_since: Option<Time>,
     /// Whether its record states a later start than that of the process that answered last.
     pub restart_announced: bool,
     /// Sequence number up to which listed ends have been handled.
@@ -167,6 +171,8 @@
             ownership: Ownership::Released,
             clock: None,
             started_ms,
+            address_since: now,
+            known_since: None,
             restart_announced: false,
             acknowledged: 0,
             unacknowledged_ends: BTreeMap::new(),
@@ -222,6 +228,18 @@
         is_newest
     }
 
+    /// Notes which process has listed its runs, in the answer to a poll that was sent at `sent`. Returns
+    /// whether it is another one than before.
+    pub fn record_process(&mut self, started_ms: u64, sent: Time, now: Time) -> bool {
+        let has_changed = self.started_ms.is_some_and(|known| known != started_ms);
+        if sent >= self.address_since && (has_changed || self.known_since.is_none()) {
+            self.known_since = Some(now);
+        }
+        self.started_ms = Some(started_ms);
+        self.restart_announced = false;
+        has_changed
+    }
+
     /// Returns whether another process may have taken the place of the known one unnoticed.
     pub fn may_have_restarted(&self, now: Time) -> bool {
         self.restart_announced || now.since(self.last_answer) > MIN_RESTART_TIME
@@ -289,7 +307,11 @@
     }
 
     /// Replaces the record. A change of its capacity overrides what was assumed of it.
-    pub fn set_record(&mut self, record: Record) {
+    pub fn set_record(&mut self, record: Record, now: Time) {
+        if record.address != self.record.address {
+            self.address_since = now;
+            self.known_since = None;
+        }
         if record.capacity != self.record.capacity {
             self.capacity = record.capacity;
             self.shrunk_until = None;
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -566,7 +566,7 @@
 fn a_replaced_upstream_frees_its_tasks_at_once() {
     let (mut pool, (upstream, ..)) = running(&["u1", "u2"]);
 
-    pool.on_process_replaced(upstream, at(110));
+    pool.on_process_replaced(upstream, at(105), at(110));
     pool.tick(at(111));
 
     let again = starts(&pool.take_effects());
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -213,3 +213,46 @@
 
     assert_eq!(losses(&pool.take_effects()), []);
 }
+
+/// Returns a dispatcher with a run on the second process of an upstream, which has another address
+/// than the first one and has answered there at 105 ms.
+fn moved() -> (Pool, Started) {
+    let mut pool = pool(&["u1"]);
+    let address = "10.0.0.2:80".into();
+    let moved = Record { started_ms: Some(SECOND_STARTED_MS), address, ..record("u1") };
+    pool.update_upstream(moved, OWNED, at(100));
+    let upstream = polls(&pool.take_effects())[0];
+    pool.on_poll_answer(upstream, &second_listing(vec![], vec![]), at(100), at(105));
+    pool.submit(patient_job("j"), at(110));
+    let started = starts(&pool.take_effects()).remove(0);
+    pool.on_start_answer(started.1, StartAnswer::Running, Some(307), at(111));
+    pool.take_effects();
+    (pool, started)
+}
+
+#[test]
+fn a_late_answer_from_the_former_address_loses_no_run() {
+    let (mut pool, (upstream, ..)) = moved();
+
+    // Another upstream has taken over the former address, and answers a poll sent there at 95 ms.
+    pool.on_process_replaced(upstream, at(95), at(112));
+    let late = losses(&pool.take_effects());
+    pool.on_process_replaced(upstream, at(120), at(122));
+
+    assert_eq!((late, losses(&pool.take_effects())), (vec![], vec![(LossCause::Replaced, 1)]));
+}
+
+#[test]
+fn another_process_at_an_address_without_an_answer_proves_no_run_over() {
+    let (mut pool, (upstream, ..)) = moved();
+    let address = "10.0.0.3:80".into();
+    let false_record = Record { started_ms: Some(u64::MAX), address, ..record("u1") };
+    pool.update_upstream(false_record, OWNED, at(112));
+
+    pool.on_process_replaced(upstream, at(112), at(113));
+    let early = losses(&pool.take_effects());
+    // The lease of 700 ms was granted at 110 ms.
+    pool.tick(at(830));
+
+    assert_eq!((early, losses(&pool.take_effects())), (vec![], vec![(LossCause::Unresponsive, 1)]));
+}
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -44,10 +44,11 @@
                 Effect::Stop { upstream, run, task, number } => {
                     let Some((name, address)) = self.upstream_address(upstream) else { continue };
                     let entry = self.clone();
+                    let sent = self.environment.clock().now();
                     spawn_local(async move {
                         let upstreams = entry.environment.upstream_client();
                         let answer = upstreams.stop(&address, &name, &task, number).await;
-                        entry.handle_stop_answer(upstream, run, answer).await;
+                        entry.handle_stop_answer(upstream, run, sent, answer).await;
                     });
                 }
                 Effect::Poll { upstream, lease_end_ms, acknowledged, wait } => {
@@ -127,18 +128,19 @@
         self: &Rc<Self>,
         upstream: UpstreamKey,
         run: heathertrack::pool::RunKey,
+        sent: Time,
         answer: Result<Option<u64>, CallError>,
     ) {
         match answer {
             Ok(clock_ms) => {
                 self.with_pool(|pool, now| pool.on_stop_answer(run, true, clock_ms, now));
             }
-            Err(CallError::Replaced(_)) => {
-                self.with_pool(|pool, now| pool.on_process_replaced(upstream, now));
-            }
-            Err(_) => {
+            Err(error) => {
+                if matches!(error, CallError::Replaced(_)) {
+                    self.with_pool(|pool, now| pool.on_process_replaced(upstream, sent, now));
+                }
                 sleep(RETRY_PAUSE).await;
-                // Not confirmed, so the pool repeats the order.
+                // Not confirmed, so the pool repeats the order if the run isn't lost.
                 self.with_pool(|pool, now| pool.on_stop_answer(run, false, None, now));
             }
         }
@@ -161,7 +163,9 @@
                     metrics::upstream_polled(false);
                     entry.event_log.poll_failed(&name, &error);
                     if matches!(error, CallError::Replaced(_)) {
-                        entry.with_pool(|pool, now| pool.on_process_replaced(upstream, now));
+                        entry.with_pool(|pool, now| {
+                            pool.on_process_replaced(upstream, sent_at, now);
+                        });
                     }
                     let failure = match error {
                         CallError::Refused(_) => PollFailure::Refused,
