Blame no task for a start that another process refused

If a start was answered by another process at the upstream's address (421), its own run counted among the runs that were lost with the upstream, and the loss was recorded and reported for its task as a doubtful crash, although nothing had been started. Two of these give a job up.

The run is discarded before the others are lost. A job of which nothing else has run may be reported as not run again.

Guarded by process::a_start_that_another_process_refused_blames_no_task, which failed before (a doubtful crash was reported).

--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -79,9 +79,9 @@
             }
             StartAnswer::Replaced => {
                 let sent = run.ordered_at;
-                self.on_process_replaced(upstream_key, sent, now);
-                // Unless it was lost: nothing was started.
+                // First, as it can't be lost: nothing was started.
                 self.discard_run(key, 0);
+                self.on_process_replaced(upstream_key, sent, now);
             }
             StartAnswer::Unsent => {
                 self.mark_unresponsive(upstream_key, now);
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -256,3 +256,18 @@
 
     assert_eq!((early, losses(&pool.take_effects())), (vec![], vec![(LossCause::Unresponsive, 1)]));
 }
+
+#[test]
+fn a_start_that_another_process_refused_blames_no_task() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(100));
+    let (upstream, run, ..) = starts(&pool.take_effects()).remove(0);
+
+    pool.on_start_answer(run, StartAnswer::Replaced, None, at(101));
+
+    let effects = pool.take_effects();
+    let again = starts(&effects);
+    assert_eq!(reports(&effects), []);
+    assert_eq!((again.len(), pool.quarantined_tasks(at(101))), (1, 0));
+    assert_ne!(again[0].0, upstream);
+}
