Ignore late lists of a former process

Answers on different connections may overtake each other. A list of an upstream's former process that came after the first one of the new process brought the former one back until the next poll: starts were ordered by its clock, with a lease of hours that the new process shortens to its longest one, and runs and losses counted under the wrong process.

A list of another process than the known one is ignored if its poll was sent before the known one had listed its runs. If it was of a third process, the next poll shows that.

Guarded by process::a_late_list_of_the_former_process_does_not_bring_it_back, which failed before (the lease ended at 5,703 ms of the former clock instead of 1,004 ms of the new one).

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -37,6 +37,10 @@
     pub fn on_poll_answer(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.polls_in_flight = upstream.polls_in_flight.saturating_sub(1);
+        if upstream.is_of_former_process(listing, sent) {
+            self.poll(key, now);
+            return;
+        }
         if upstream.unresponsive_since.take().is_some() {
             self.log_upstream_state(key, "responds again", now);
         }
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -228,6 +228,13 @@
         is_newest
     }
 
+    /// Returns whether a list, the answer to a poll that was sent at `sent`, may be of another process
+    /// that has ended before the known one started.
+    pub fn is_of_former_process(&self, listing: &Listing, sent: Time) -> bool {
+        self.started_ms != Some(listing.started_ms)
+            && self.known_since.is_some_and(|since| sent < since)
+    }
+
     /// Notes which process has listed its runs, in the answer to a poll that was sent at `sent`. Returns
     /// whether it is another one than before.
     pub fn record_process(&mut self, started_ms: u64, sent: Time, now: Time) -> bool {
--- a/crates/heathertrack/tests/pool/process.rs
+++ b/crates/heathertrack/tests/pool/process.rs
@@ -271,3 +271,23 @@
     assert_eq!((again.len(), pool.quarantined_tasks(at(101))), (1, 0));
     assert_ne!(again[0].0, upstream);
 }
+
+/// Polls on two connections are answered in the wrong order.
+#[test]
+fn a_late_list_of_the_former_process_does_not_bring_it_back() {
+    let mut pool = pool(&["u1"]);
+    let restarted = Record { started_ms: Some(SECOND_STARTED_MS), ..record("u1") };
+    pool.update_upstream(restarted, OWNED, at(100));
+    let upstream = polls(&pool.take_effects())[0];
+    pool.on_poll_answer(upstream, &second_listing(vec![], vec![]), at(104), at(105));
+
+    pool.on_poll_answer(upstream, &listing(vec![], vec![]), at(103), at(106));
+
+    pool.submit(patient_job("j"), at(110));
+    let lease_end = pool.take_effects().into_iter().find_map(|effect| match effect {
+        Effect::Start { lease_end_ms, .. } => Some(lease_end_ms),
+        _ => None,
+    });
+    // By the clock of the second process.
+    assert_eq!(lease_end, Some(300 + 4 + 700));
+}
