--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -37,6 +37,10 @@
     pub fn on_poll_answer(&mut self, key: UpstreamKey, listing: &Listing, sent: Time, now: Time) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.polls_in_flight = upstream.polls_in_flight.saturating_sub(1);
+        if upstream.is_of_former_process(listing, sent) {
+            self.poll(key, now);
+            return;
+        }
         if upstream.unresponsive_since.take().is_some() {
             self.log_upstream_state(key, "responds again", now);
         }
@@ -47,7 +51,7 @@
             None => upstream.clock.is_none(),
         };
         upstream.record_clock(listing.clock_ms, now);
-        if upstream.started_ms.is_some_and(|started_ms| started_ms != listing.started_ms) {
+        if upstream.record_process(listing.started_ms, sent, now) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
             self.log_upstream_state(key, "process restarted", now);
@@ -58,7 +62,6 @@
             }
         }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
-        upstream.started_ms = Some(listing.started_ms);
         upstream.listed_at = Some(now);
         self.handle_ends(key, &listing.ended, now);
         let seen = self.handle_running(key, listing, now);
@@ -117,6 +120,7 @@
             seen.push(run_key);
             let Some(run) = self.runs.get_mut(run_key) else { continue };
             run.seen_at = Some(now);
+            run.process_started_ms = Some(listing.started_ms);
             if run.state == RunState::Starting {
                 run.state = RunState::Running;
                 run.absence_proves_end_at = Some(now);
@@ -267,10 +271,19 @@
         self.place(now);
     }
 
-    /// Handles an answer by another process at the upstream's address: the upstream's process is
-    /// gone, and all its runs with it.
-    pub fn on_process_replaced(&mut self, key: UpstreamKey, now: Time) {
+    /// Handles an answer by another process to an order or a poll that was sent at `sent`: the
+    /// upstream's process is gone, and all its runs with it. That isn't proven if the process has
+    /// answered after `sent` for the first time, or never at this address.
+    pub fn on_process_replaced(&mut self, key: UpstreamKey, sent: Time, now: Time) {
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let known_since = upstream.known_since;
+        if known_since.is_some_and(|since| sent < since) {
+            return;
+        }
         self.mark_unresponsive(key, now);
+        if known_since.is_none() {
+            return;
+        }
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let (runs, cause) = (upstream.runs.clone(), upstream.replacement_cause(now));
         upstream.clock = None;
@@ -290,6 +303,7 @@
             let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
             upstream.stopped_jobs = runs.map(|run| run.task.job.clone()).collect();
             upstream.poll_due = now;
+            upstream.has_ends_to_acknowledge = false;
             self.log_upstream_state(key, "does not respond", now);
         }
     }
@@ -364,16 +378,18 @@
         // A run whose stops get no answer ends only when the lease of its upstream expires. No
         // lease is renewed after a failed poll either: if only the answers are lost, runs that go
         // on unseen have to end. Unless the network is partitioned, the next poll is answered, and
-        // renewals resume, well before the lease expires.
+        // renewals resume, well before the lease expires. The same holds after an order to an upstream
+        // that may have restarted.
         let renews_lease = busy
             && upstream.ownership != Ownership::Acquiring
             && !upstream.foreign.has_strays
             && upstream.failed_polls == 0
+            && !upstream.may_have_restarted(now)
             && !upstream.runs.iter().any(has_max_unanswered_stops);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let lease_end_ms = if renews_lease { upstream.renew_lease(lease, now) } else { None };
         upstream.polls_in_flight += 1;
-        let acknowledged = upstream.acknowledged;
+        let acknowledged = upstream.acknowledgement();
         // The owner renews a released upstream while it has runs there.
         let is_renewed_by_owner = upstream.ownership == Ownership::Released
             && upstream.foreign.has_strays
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -3,11 +3,12 @@
 use crate::pool::job::Outcome;
 use crate::pool::job::TaskState;
 use crate::pool::run::{Run, RunState};
+use crate::pool::upstream::max_lease_expiry;
 use crate::pool::{
     Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
     UpstreamKey,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Pause of starts on an upstream that refused one for want of capacity while runs of another
@@ -36,7 +37,15 @@
         let upstream_key = run.upstream;
         if let (Some(clock_ms), Some(upstream)) = (clock_ms, self.upstreams.get_mut(upstream_key)) {
             upstream.record_clock(clock_ms, now);
+            if run.may_have_restarted && clock_ms < run.min_clock_ms {
+                upstream.on_other_process(now);
+                if !run.has_begun() {
+                    run.process_started_ms = None;
+                }
+                self.log_upstream_state(upstream_key, "another process took an order", now);
+            }
         }
+        let Some(run) = self.runs.get_mut(key) else { return };
         match answer {
             StartAnswer::Running => {
                 run.seen_at = Some(now);
@@ -69,13 +78,19 @@
                 self.discard_run(key, 0);
             }
             StartAnswer::Replaced => {
-                self.on_process_replaced(upstream_key, now);
+                let sent = run.ordered_at;
+                // First, as it can't be lost: nothing was started.
+                self.discard_run(key, 0);
+                self.on_process_replaced(upstream_key, sent, now);
             }
             StartAnswer::Unsent => {
                 self.mark_unresponsive(upstream_key, now);
                 self.discard_run(key, 0);
             }
             StartAnswer::Unknown => {
+                if run.may_have_restarted {
+                    run.unanswered_until = max_lease_expiry(now);
+                }
                 self.mark_unresponsive(upstream_key, now);
                 if self.options.stop_unanswered_starts {
                     self.stop(key);
@@ -194,7 +209,7 @@
         }
     }
 
-    /// Ends runs that were lost with the process of their upstream.
+    /// Ends runs that were lost with their upstream, possibly with several of its processes.
     pub(super) fn lose_runs(
         &mut self,
         key: UpstreamKey,
@@ -202,6 +217,34 @@
         cause: LossCause,
         how: RunEnd,
         now: Time,
+    ) {
+        let jobs: BTreeSet<JobKey> =
+            runs.iter().filter_map(|run| self.runs.get(*run)?.job).collect();
+        let mut processes: BTreeMap<Option<u64>, Vec<RunKey>> = BTreeMap::new();
+        for run in &runs {
+            if let Some(started_ms) = self.runs.get(*run).map(|run| run.process_started_ms) {
+                processes.entry(started_ms).or_default().push(*run);
+            }
+        }
+        for (started_ms, runs) in processes {
+            self.record_loss(key, started_ms, &runs, cause, now);
+        }
+        for run in runs {
+            self.end_run(run, how, now);
+        }
+        for job in jobs {
+            self.check_losses(job, now);
+        }
+    }
+
+    /// Records the loss of one process of an upstream with these runs.
+    fn record_loss(
+        &mut self,
+        key: UpstreamKey,
+        started_ms: Option<u64>,
+        runs: &[RunKey],
+        cause: LossCause,
+        now: Time,
     ) {
         let lost = || runs.iter().filter_map(|run| self.runs.get(*run));
         let tasks: Vec<Task> = lost().map(|run| run.task.clone()).collect();
@@ -212,28 +255,18 @@
             seen_age: run.seen_at.map(|at| now.since(at)),
         };
         let lost_runs: Vec<LostRun> = lost().map(lost_run).collect();
-        let started_ms = lost().next().and_then(|run| run.process_started_ms);
-        let jobs: BTreeSet<JobKey> = lost().filter_map(|run| run.job).collect();
         self.loss_counts[cause as usize] += tasks.len() as u64;
-        if let Some(upstream) = self.upstreams.get(key)
-            && !tasks.is_empty()
-        {
-            let age = now.since(upstream.last_answer);
-            let upstream = upstream.record.name.clone();
-            let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
-            let stopped_with_it = self.count_stopped_with(key, cause);
-            if cause != LossCause::Left {
-                self.blame_tasks(key, &runs, &loss, now);
-            }
-            let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
-            self.effects.push(Effect::Log(lost));
-        }
-        for run in runs {
-            self.end_run(run, how, now);
-        }
-        for job in jobs {
-            self.check_losses(job, now);
+        let Some(upstream) = self.upstreams.get(key) else { return };
+        let age = now.since(upstream.last_answer);
+        let upstream = upstream.record.name.clone();
+        let loss = Loss { upstream, started_ms, cause, is_doubtful: false, tasks };
+        let stopped_with_it = self.count_stopped_with(key, cause);
+        // The loss of an unknown process couldn't be taken back when it answers again.
+        if cause != LossCause::Left && started_ms.is_some() {
+            self.blame_tasks(key, runs, &loss, now);
         }
+        let lost = Decision::RunsLost { loss, runs: lost_runs, stopped_with_it, age };
+        self.effects.push(Effect::Log(lost));
     }
 
     /// Handles another dispatcher's report of a loss.
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -50,8 +50,9 @@
     /// `None` once the job has ended.
     pub job: Option<JobKey>,
     pub upstream: UpstreamKey,
-    /// Unix time of the start of the upstream's process in milliseconds, as known when the run was
-    /// ordered.
+    /// Unix time of the start of the upstream's process in milliseconds: of the one that has listed the
+    /// run, and before that, of the one it was ordered from. `None` if another one has answered that
+    /// order, and no list has shown which.
     pub process_started_ms: Option<u64>,
     pub needs: Needs,
     pub state: RunState,
@@ -74,6 +75,13 @@
     /// Time until which hosts with a link may have renewed that lease before their lists showed this
     /// run.
     pub shared_until: Time,
+    /// Lowest value that the clock of the known process could show when the run was ordered, in
+    /// milliseconds. An answer with a lower one comes from another process.
+    pub min_clock_ms: u64,
+    /// Whether another process may have taken the place of the known one before the run was ordered.
+    pub may_have_restarted: bool,
+    /// Time until which such a process may run it, if the order has no answer.
+    pub unanswered_until: Time,
     /// Number of unanswered orders to stop it.
     pub unanswered_stops: u32,
     /// Share of its work that was done when it was last listed, in percent.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -48,6 +48,15 @@
 /// Factor by which a lease lasts longer on the dispatcher's clock if the upstream's runs slowest.
 pub(super) const SLOW_CLOCK_FACTOR: f64 = 1.0 / MIN_CLOCK_RATE;
 
+/// Longest lease that an upstream grants (`hold_max_ms`). A process that has replaced the known one
+/// shortens the lease of an order to this, as its clock starts anew and the order's end of the lease is
+/// a time of the former clock.
+const MAX_LEASE: Duration = Duration::from_millis(1_000);
+
+/// Least time from the last answer of a process until another one can take orders in its place: an
+/// upstream that crashed is back after some seconds.
+const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time until a change of an upstream's capacity is known from its record, which it writes
 /// every 1.5 s and dispatchers read about once a second.
 const RECORD_DELAY: Duration = Duration::from_millis(2_500);
@@ -80,6 +89,12 @@
     Owned,
 }
 
+/// Returns when a lease has expired for certain that a process has granted by `now`, whatever end of it
+/// was asked for.
+pub(super) fn max_lease_expiry(now: Time) -> Time {
+    now + MAX_LEASE.mul_f64(SLOW_CLOCK_FACTOR)
+}
+
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub record: Record,
@@ -89,7 +104,13 @@
     /// Unix time in milliseconds at which the process that last answered started; before the first
     /// answer, that of the record.
     pub started_ms: Option<u64>,
-    /// Sequence number up to which ends are acknowledged.
+    /// When its record first gave the current address.
+    pub address_since: Time,
+    /// When the process that answered last first listed its runs at the current address, if it has.
+    pub known_since: Option<Time>,
+    /// Whether its record states a later start than that of the process that answered last.
+    pub restart_announced: bool,
+    /// Sequence number up to which listed ends have been handled.
     pub acknowledged: u64,
     /// Listed ends that are not acknowledged yet, by sequence number. The value is the time at
     /// which the end of an unknown run was first listed, and [`Time::ZERO`] for the end of a run of
@@ -127,7 +148,8 @@
     pub refuses_connections: bool,
     /// Instant until which no runs are started, after the upstream refused one.
     pub no_starts_until: Time,
-    /// Whether the last list contained ends, which have to be acknowledged.
+    /// Whether the last list contained ends, which have to be acknowledged, and no order or poll has
+    /// failed since.
     pub has_ends_to_acknowledge: bool,
     /// When it last answered.
     pub last_answer: Time,
@@ -149,6 +171,9 @@
             ownership: Ownership::Released,
             clock: None,
             started_ms,
+            address_since: now,
+            known_since: None,
+            restart_announced: false,
             acknowledged: 0,
             unacknowledged_ends: BTreeMap::new(),
             capacity,
@@ -203,6 +228,43 @@
         is_newest
     }
 
+    /// Returns whether a list, the answer to a poll that was sent at `sent`, may be of another process
+    /// that has ended before the known one started.
+    pub fn is_of_former_process(&self, listing: &Listing, sent: Time) -> bool {
+        self.started_ms != Some(listing.started_ms)
+            && self.known_since.is_some_and(|since| sent < since)
+    }
+
+    /// Notes which process has listed its runs, in the answer to a poll that was sent at `sent`. Returns
+    /// whether it is another one than before.
+    pub fn record_process(&mut self, started_ms: u64, sent: Time, now: Time) -> bool {
+        let has_changed = self.started_ms.is_some_and(|known| known != started_ms);
+        if sent >= self.address_since && (has_changed || self.known_since.is_none()) {
+            self.known_since = Some(now);
+        }
+        self.started_ms = Some(started_ms);
+        self.restart_announced = false;
+        has_changed
+    }
+
+    /// Returns whether another process may have taken the place of the known one unnoticed.
+    pub fn may_have_restarted(&self, now: Time) -> bool {
+        self.restart_announced || now.since(self.last_answer) > MIN_RESTART_TIME
+    }
+
+    /// Handles an answer by another process than the known one to an order that renewed the lease.
+    pub fn on_other_process(&mut self, now: Time) {
+        self.lease_expiry = self.lease_expiry.max(max_lease_expiry(now));
+        self.has_ends_to_acknowledge = false;
+    }
+
+    /// Returns up to which sequence number the next poll acknowledges ends; zero unless the last answer
+    /// listed some. The process may have been replaced since, and a new one counts its ends from the
+    /// start.
+    pub fn acknowledgement(&self) -> u64 {
+        if self.has_ends_to_acknowledge { self.acknowledged } else { 0 }
+    }
+
     /// Returns what is known of the process with which the runs here were lost, as another one has
     /// answered. The process may have ended after the lease of the runs.
     pub fn replacement_cause(&self, now: Time) -> LossCause {
@@ -242,17 +304,21 @@
         self.capacity.without(&self.used)
     }
 
-    /// Returns whether a record gives another address to the process that has answered at the known
-    /// one. A process keeps its address, so another writer left the record; orders sent there would
-    /// be answered as if the process were gone.
+    /// Returns whether a record gives another address, but no later start, than the process that has
+    /// answered at the known one. A process keeps its address and states its start, so another writer
+    /// left the record; orders sent there would be answered as if the process were gone.
     pub fn is_contradicted_by(&self, record: &Record) -> bool {
         self.clock.is_some()
-            && record.started_ms == self.started_ms
+            && record.started_ms <= self.started_ms
             && record.address != self.record.address
     }
 
     /// Replaces the record. A change of its capacity overrides what was assumed of it.
-    pub fn set_record(&mut self, record: Record) {
+    pub fn set_record(&mut self, record: Record, now: Time) {
+        if record.address != self.record.address {
+            self.address_since = now;
+            self.known_since = None;
+        }
         if record.capacity != self.record.capacity {
             self.capacity = record.capacity;
             self.shrunk_until = None;
