Draw resets of links, restarts and replaced upstreams in the model

Orders of events that need them were out of its reach.

New faults: the connections between all hosts, or from one host to a share of the others, are reset each second; an upstream restarts within 0.2 to 1.5 s and its record shows that up to 2 s later; an upstream drains for 0.05 to 1.5 s, is gone for 0.5 to 4 s and is replaced, under the same name or another; an upstream's time of day is stepped by up to a minute before it restarts. The start that an upstream lists is now its time of day. An order to a name whose upstream was replaced is refused. Hosts read the time of day only for the times of log lines, so steps of theirs are left out.

Fault::draw_dense draws them and ResetUpstream beside the former kinds.

--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -36,6 +36,11 @@
     /// Connections from all hosts to an upstream are reset, and refused from then on. The upstream
     /// runs on.
     ResetUpstream { upstream: usize, span: Duration },
+    /// All connections between hosts are reset, and again each second. New ones are accepted.
+    ResetAllLinks { span: Duration },
+    /// A host's connections to a share of the other hosts are reset, and again each second. New ones
+    /// are accepted.
+    ResetLinks { host: usize, share: f64, span: Duration },
     /// A data centre is partitioned from all others and from the store.
     CutCentre { centre: usize, span: Duration },
     /// A share of the orders to upstreams gets no answer and is executed seconds later.
@@ -44,6 +49,15 @@
     LostAnswers { share: f64, span: Duration },
     /// An upstream crashes, and starts again under the same name after `down`.
     Crash { upstream: usize, down: Duration },
+    /// An upstream crashes, and starts again under the same name after `down`. Its record shows the
+    /// new process after another `delay`.
+    Restart { upstream: usize, down: Duration, delay: Duration },
+    /// An upstream drains for `notice`, then is removed for `gap` and replaced by another process,
+    /// under a new name if `renamed` is set.
+    Replace { upstream: usize, notice: Duration, gap: Duration, renamed: bool },
+    /// An upstream's time of day is stepped by `step_ms` milliseconds. Only the time at which its
+    /// next process says that it has started depends on it.
+    StepClock { upstream: usize, step_ms: i64 },
     /// All runs that an upstream starts fail.
     Failing { upstream: usize, span: Duration },
     /// All runs that an upstream starts stall.
@@ -85,10 +99,56 @@
         faults.sort_by_key(|fault| fault.at);
         faults
     }
+
+    /// Draws `count` faults as [`Self::draw`] does, half of them of further kinds. A step of a clock
+    /// comes with a restart that shows it.
+    pub fn draw_dense(seed: u64, count: usize, length: Duration, site: &Site) -> Vec<Fault> {
+        let mut random = StdRng::seed_from_u64(seed ^ DENSE_FAULT_SEED);
+        let mut draw = |_| {
+            let at = length.mul_f64(random.random_range(0.05..0.8));
+            let kinds = draw_dense_kinds(&mut random, site);
+            kinds.into_iter().map(move |(after, kind)| Fault { at: at + after, kind })
+        };
+        let mut faults: Vec<Fault> = (0..count).flat_map(&mut draw).collect();
+        faults.sort_by_key(|fault| fault.at);
+        faults
+    }
+}
+
+/// Returns the kinds of faults that one draw stands for, each with the time from the drawn one.
+/// [`draw_kind`] draws half of them; the others are those of connections and of upstreams that
+/// restart or are replaced.
+fn draw_dense_kinds(random: &mut StdRng, site: &Site) -> Vec<(Duration, FaultKind)> {
+    let kind = draw_kind(random, site);
+    let host = random.random_range(0..site.hosts());
+    let upstream = random.random_range(0..site.upstreams());
+    let share = random.random_range(0.2..1.0);
+    let span = Duration::from_millis(random.random_range(100..3_500));
+    // Shorter than the pause between two polls of an idle upstream.
+    let down = Duration::from_millis(random.random_range(200..1_500));
+    let delay = Duration::from_millis(random.random_range(0..2_000));
+    let notice = Duration::from_millis(random.random_range(50..1_500));
+    let gap = Duration::from_millis(random.random_range(500..4_000));
+    let step_ms = random.random_range(-60_000..60_000);
+    let renamed = random.random();
+    let restart = FaultKind::Restart { upstream, down, delay };
+    let kinds = match random.random_range(0..14) {
+        0 => vec![FaultKind::ResetAllLinks { span }],
+        1 => vec![FaultKind::ResetLinks { host, share, span }],
+        2 | 3 => vec![FaultKind::Replace { upstream, notice, gap, renamed }],
+        4 => vec![restart],
+        5 => vec![FaultKind::StepClock { upstream, step_ms }, restart],
+        6 => vec![FaultKind::ResetUpstream { upstream, span }],
+        _ => vec![kind],
+    };
+    let later = |index: usize| span.mul_f64(index as f64);
+    kinds.into_iter().enumerate().map(|(index, kind)| (later(index), kind)).collect()
 }
 
 /// Makes the draws of faults differ from the other draws of a simulation with the same seed.
 const FAULT_SEED: u64 = 0x5eed;
+/// Like [`FAULT_SEED`], for [`Fault::draw_dense`].
+const DENSE_FAULT_SEED: u64 = 0xde45e;
 
 /// What a fault affects.
 enum Target {
@@ -116,12 +176,18 @@
             | FaultKind::KillWhileStopping { host, .. }
             | FaultKind::IsolateHost { host, .. }
             | FaultKind::CutUpstreams { host, .. }
-            | FaultKind::ResetUpstreams { host, .. } => Target::Host(host),
+            | FaultKind::ResetUpstreams { host, .. }
+            | FaultKind::ResetLinks { host, .. } => Target::Host(host),
             FaultKind::CutHosts { from, to, .. } => Target::Hosts(from, to),
             FaultKind::CutCentre { centre, .. } => Target::Centre(centre),
-            FaultKind::KillAll { .. } | FaultKind::StoreDown { .. } => Target::AllHosts,
+            FaultKind::KillAll { .. }
+            | FaultKind::StoreDown { .. }
+            | FaultKind::ResetAllLinks { .. } => Target::AllHosts,
             FaultKind::ResetUpstream { upstream, .. }
             | FaultKind::Crash { upstream, .. }
+            | FaultKind::Restart { upstream, .. }
+            | FaultKind::Replace { upstream, .. }
+            | FaultKind::StepClock { upstream, .. }
             | FaultKind::Failing { upstream, .. }
             | FaultKind::Hanging { upstream, .. }
             | FaultKind::Slow { upstream, .. }
--- a/crates/heathertrack_model/src/network.rs
+++ b/crates/heathertrack_model/src/network.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -33,6 +33,12 @@
 /// A task that runs outside of the hosts' processes.
 type DetachedTask = Pin<Box<dyn Future<Output = ()>>>;
 
+/// A connection between two nodes, and its two directions while an end of it exists.
+struct Connection {
+    ends: (Node, Node),
+    directions: [Weak<RefCell<Direction>>; 2],
+}
+
 /// State of all paths between nodes.
 #[derive(Default)]
 pub struct Network {
@@ -46,6 +52,8 @@
     partitions: RefCell<BTreeSet<(Node, Node)>>,
     /// Paths on which connections are refused.
     refusing: RefCell<BTreeSet<(Node, Node)>>,
+    /// Connections between hosts, some of which may have ended.
+    connections: RefCell<Vec<Connection>>,
     powered_off: RefCell<BTreeSet<Node>>,
     /// Tasks to spawn outside of the hosts' processes.
     pub(super) detached: RefCell<Vec<DetachedTask>>,
@@ -97,6 +105,21 @@
         self.refusing.borrow().contains(&(from, to))
     }
 
+    /// Resets the established connections between pairs of hosts, given in either order. What is on
+    /// its way is lost. New connections are accepted.
+    pub fn reset_connections(&self, is_reset: impl Fn(Node, Node) -> bool) {
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|connection| {
+            let (one, other) = connection.ends;
+            if !is_reset(one, other) && !is_reset(other, one) {
+                return connection.is_alive();
+            }
+            let directions = connection.directions.iter().filter_map(Weak::upgrade);
+            directions.for_each(|direction| direction.borrow_mut().reset());
+            false
+        });
+    }
+
     /// Powers a node off, or on again.
     pub fn set_powered_off(&self, node: Node, powered_off: bool) {
         if powered_off {
@@ -178,6 +201,12 @@
     }
 }
 
+impl Connection {
+    fn is_alive(&self) -> bool {
+        self.directions.iter().any(|direction| direction.strong_count() > 0)
+    }
+}
+
 /// One direction of a connection.
 #[derive(Debug, Default)]
 struct Direction {
@@ -185,10 +214,24 @@
     queue: VecDeque<(Instant, Bytes)>,
     /// Time at which the close of the connection arrives.
     closed: Option<Instant>,
+    /// Whether the connection was reset.
+    reset: bool,
     /// Woken when bytes or the close are sent.
     reader: Option<Waker>,
 }
 
+impl Direction {
+    /// Ends the connection with an error at both ends.
+    fn reset(&mut self) {
+        self.queue.clear();
+        self.closed = Some(Instant::now());
+        self.reset = true;
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+}
+
 /// One end of a connection.
 #[derive(Debug)]
 pub struct Pipe {
@@ -217,6 +260,11 @@
             outgoing: outgoing.clone(),
             timer: None,
         };
+        let mut connections = network.connections.borrow_mut();
+        connections.retain(Connection::is_alive);
+        let directions = [Rc::downgrade(&outbound), Rc::downgrade(&inbound)];
+        connections.push(Connection { ends: (one, other), directions });
+        drop(connections);
         (end(one, other, &inbound, &outbound), end(other, one, &outbound, &inbound))
     }
 
@@ -241,6 +289,9 @@
         let now = Instant::now();
         let due = {
             let mut direction = self.incoming.borrow_mut();
+            if direction.reset {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
             direction.reader = Some(context.waker().clone());
             let first = direction.queue.front().map(|(due, _)| *due);
             first.or(direction.closed)
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -72,14 +72,15 @@
         if self.network.is_refusing(own, target) {
             return None;
         }
-        if upstream.borrow().down {
+        let is_other = upstream.borrow().name() != name;
+        if upstream.borrow().down || is_other {
             self.network.deliver(target, own).await;
             return None;
         }
         if self.draw_chance(self.order_faults.late_share.get()) {
             let delay_s = self.random.borrow_mut().random_range(2.0..12.0);
             // Outside of the host's process, so that it is executed even if the host is killed.
-            self.network.spawn_detached(execute_late(upstream, delay_s, order));
+            self.network.spawn_detached(execute_late(name.clone(), upstream, delay_s, order));
             return pending().await;
         }
         let answer = order(&mut upstream.borrow_mut(), false, Instant::now());
@@ -91,13 +92,17 @@
     }
 }
 
+/// Executes an order on an upstream after a delay, unless the upstream is down or another one has
+/// taken its place.
 async fn execute_late<T: 'static>(
+    name: Upstream,
     upstream: Rc<RefCell<EmulatedUpstream>>,
     delay_s: f64,
     order: impl FnOnce(&mut EmulatedUpstream, bool, Instant) -> T + 'static,
 ) {
     sleep(Duration::from_secs_f64(delay_s)).await;
-    if !upstream.borrow().down {
+    let is_other = *upstream.borrow().name() != name;
+    if !upstream.borrow().down && !is_other {
         order(&mut upstream.borrow_mut(), true, Instant::now());
     }
 }
--- a/crates/heathertrack_model/src/plan.rs
+++ b/crates/heathertrack_model/src/plan.rs
@@ -114,4 +114,10 @@
         self.faults = Fault::draw(self.seed, count, self.length, &self.site);
         self
     }
+
+    /// Replaces the faults by `count` faults of all kinds drawn from the seed.
+    pub fn with_dense_faults(mut self, count: usize) -> Self {
+        self.faults = Fault::draw_dense(self.seed, count, self.length, &self.site);
+        self
+    }
 }
--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -95,9 +95,17 @@
     pub misbehaviour: Misbehaviour,
     /// Whether the upstream is not running, so that connections to it are refused.
     pub down: bool,
+    /// Steps of the upstream's time of day so far, in milliseconds.
+    pub time_of_day_step_ms: i64,
+    /// Time at which the upstream was created.
+    created_at: Instant,
+    /// Time of day at which it was created, in milliseconds.
+    created_ms: u64,
+    /// Number of the process, which differs from those before.
+    incarnation: u64,
     /// Start of the incarnation, when its clock was zero.
     incarnation_start: Instant,
-    /// Value that differs between incarnations and is listed as the time of their start.
+    /// Time of day at which the incarnation started, in milliseconds.
     started_ms: u64,
     /// End of the lease of all runs, on the upstream's clock.
     lease_end_ms: u64,
@@ -118,14 +126,20 @@
 impl EmulatedUpstream {
     /// Creates an upstream without runs.
     pub fn new(record: Record, speed: f64, clock_rate: f64, job_profiles: &JobProfiles) -> Self {
+        let now = Instant::now();
+        let created_ms = record.started_ms.unwrap_or_default();
         EmulatedUpstream {
             record,
             speed,
             clock_rate,
             misbehaviour: Misbehaviour::default(),
             down: false,
-            incarnation_start: Instant::now(),
-            started_ms: 1,
+            time_of_day_step_ms: 0,
+            created_at: now,
+            created_ms,
+            incarnation: 0,
+            incarnation_start: now,
+            started_ms: created_ms,
             lease_end_ms: 0,
             last_sequence: 0,
             running: BTreeMap::new(),
@@ -209,7 +223,13 @@
 
     /// Returns a value that differs between incarnations.
     pub fn incarnation(&self) -> u64 {
-        self.started_ms
+        self.incarnation
+    }
+
+    /// Returns the time of day, in milliseconds, on the upstream's clock, which may have been stepped.
+    fn time_of_day_ms(&self, now: Instant) -> u64 {
+        let elapsed_ms = now.duration_since(self.created_at).as_millis() as u64;
+        (self.created_ms + elapsed_ms).saturating_add_signed(self.time_of_day_step_ms)
     }
 
     /// Extends the lease to `lease_end_ms`, limited to [`MAX_LEASE_MS`] from now.
@@ -356,7 +376,10 @@
         self.last_sequence = 0;
         self.lease_end_ms = 0;
         self.incarnation_start = now;
-        self.started_ms += 1;
+        self.incarnation += 1;
+        // Two processes of an upstream never start at the same time of day.
+        let is_same = self.time_of_day_ms(now) == self.started_ms;
+        self.started_ms = self.time_of_day_ms(now) + u64::from(is_same);
         self.record.started_ms = Some(self.started_ms);
         self.changed.notify_waiters();
     }
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -36,6 +36,8 @@
 const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// Time for jobs and runs to end after the last caller has arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(15);
+/// Time of day at which the upstreams start, in milliseconds.
+const FIRST_START_MS: u64 = 1_800_000_000_000;
 /// One-way delay between callers and hosts.
 const CALLER_DELAY: Duration = Duration::from_millis(1);
 /// Time after its deadline at which an answer counts as missing.
@@ -174,7 +176,7 @@
                 },
                 labels: Vec::new(),
                 draining: false,
-                started_ms: Some(1),
+                started_ms: Some(FIRST_START_MS),
             };
             // The clocks of upstreams run up to 2% slow.
             let clock_rate = self.random.borrow_mut().random_range(0.98..1.0);
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -5,6 +5,7 @@
 use crate::network::Node;
 use crate::process::Process;
 use crate::upstream::Misbehaviour;
+use heathertrack::name::Upstream;
 use heathertrack::pool::upstream::Record;
 use heathertrack_platform::DecodedItem;
 use std::cell::Cell;
@@ -16,6 +17,8 @@
 
 /// Time from the start of a deadly task to the crash of its upstream.
 const DEADLY_DELAY: Duration = Duration::from_millis(15);
+/// Time between resets of connections between hosts.
+const RESET_INTERVAL: Duration = Duration::from_secs(1);
 /// Time until an upstream that crashed under a deadly task runs again.
 const DEADLY_DOWN_TIME: Duration = Duration::from_secs(3);
 
@@ -70,6 +73,14 @@
             world.mark_disturbed(host);
         }
         FaultKind::ResetUpstream { upstream, span } => world.reset_upstream(upstream, span).await,
+        FaultKind::ResetAllLinks { span } => world.reset_links(|_, _| true, span).await,
+        FaultKind::ResetLinks { host, share, span } => {
+            let count = ((world.plan.site.hosts() - 1) as f64 * share).ceil() as usize;
+            let others = (0..world.plan.site.hosts()).filter(|other| *other != host);
+            let others: Vec<Node> = others.take(count).map(Node::Host).collect();
+            let is_reset = |one, other| one == Node::Host(host) && others.contains(&other);
+            world.reset_links(is_reset, span).await;
+        }
         FaultKind::CutCentre { centre, span } => world.partition_centre(centre, span).await,
         FaultKind::LateOrders { share, span } => {
             set_for(&world.order_faults.late_share, share, 0.0, span).await;
@@ -78,14 +89,17 @@
             set_for(&world.order_faults.lost_answer_share, share, 0.0, span).await;
         }
         FaultKind::Crash { upstream, down } => {
+            world.restart_upstream(upstream, down, Duration::ZERO).await;
+        }
+        FaultKind::Restart { upstream, down, delay } => {
+            world.restart_upstream(upstream, down, delay).await;
+        }
+        FaultKind::Replace { upstream, notice, gap, renamed } => {
+            world.replace_upstream(upstream, notice, gap, renamed).await;
+        }
+        FaultKind::StepClock { upstream, step_ms } => {
             let upstream = world.fleet.borrow()[upstream].clone();
-            upstream.borrow_mut().crash(Instant::now());
-            upstream.borrow_mut().down = true;
-            sleep(down).await;
-            // The start of a new incarnation, whose clock begins at zero.
-            upstream.borrow_mut().crash(Instant::now());
-            upstream.borrow_mut().down = false;
-            world.store.put(DecodedItem::Upstream(upstream.borrow().record.clone()));
+            upstream.borrow_mut().time_of_day_step_ms += step_ms;
         }
         FaultKind::Failing { upstream, span } => {
             let failing = Misbehaviour { fails_runs: true, ..Misbehaviour::default() };
@@ -220,6 +234,30 @@
         set(false);
     }
 
+    /// Resets the connections between the selected pairs of hosts, until `span` has passed.
+    async fn reset_links(&self, is_reset: impl Fn(Node, Node) -> bool, span: Duration) {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            self.network.reset_connections(&is_reset);
+            sleep(RESET_INTERVAL).await;
+        }
+    }
+
+    /// Crashes an upstream and starts it again after `down`. Its record follows after `delay`.
+    async fn restart_upstream(&self, upstream: usize, down: Duration, delay: Duration) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        upstream.borrow_mut().crash(Instant::now());
+        upstream.borrow_mut().down = true;
+        sleep(down).await;
+        // The start of a new incarnation, whose clock begins at zero.
+        upstream.borrow_mut().crash(Instant::now());
+        upstream.borrow_mut().down = false;
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
+        self.store.put(DecodedItem::Upstream(upstream.borrow().record.clone()));
+    }
+
     async fn partition_centre(&self, centre: usize, span: Duration) {
         let hosts = (0..self.plan.site.hosts()).map(Node::Host);
         let upstreams = (0..self.plan.site.upstreams()).map(Node::Upstream);
@@ -256,4 +294,34 @@
         let record = upstream.borrow().record.clone();
         self.store.put(DecodedItem::Upstream(record));
     }
+
+    /// Drains an upstream for `notice`, removes it for `gap`, and registers another process in its
+    /// place, under a new name if `renamed` is set.
+    async fn replace_upstream(
+        &self,
+        upstream: usize,
+        notice: Duration,
+        gap: Duration,
+        renamed: bool,
+    ) {
+        let upstream = self.fleet.borrow()[upstream].clone();
+        let leaving = Record { draining: true, ..upstream.borrow().record.clone() };
+        self.store.put(DecodedItem::Upstream(leaving.clone()));
+        sleep(notice).await;
+        upstream.borrow_mut().crash(Instant::now());
+        upstream.borrow_mut().down = true;
+        self.store.remove_upstream(&leaving.name);
+        sleep(gap).await;
+        upstream.borrow_mut().crash(Instant::now());
+        if renamed {
+            // Another fault may have brought the record back.
+            self.store.remove_upstream(upstream.borrow().name());
+            let name =
+                Upstream::new(format!("{}-{}", leaving.name, upstream.borrow().incarnation()));
+            upstream.borrow_mut().record.name = name;
+        }
+        upstream.borrow_mut().down = false;
+        let record = upstream.borrow().record.clone();
+        self.store.put(DecodedItem::Upstream(record));
+    }
 }
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -37,21 +37,37 @@
     check((0..seeds()).map(Plan::small));
 }
 
-/// Returns the plan of a day with planned stops of all hosts in turn, and four to eight faults beside
-/// them. Half of the tasks last several leases, so that they outlive a stop and what goes wrong in it.
-fn dense(seed: u64) -> Plan {
-    let mut plan = Plan::small(seed).with_drawn_faults(4 + seed as usize % 5);
+/// Adds planned stops of all hosts in turn to the faults of a plan. Half of the tasks last several
+/// leases, so that they outlive a stop and what goes wrong in it.
+fn beside_planned_stops(mut plan: Plan) -> Plan {
     let long = Class { work: Duration::from_millis(2_500), ..plan.load.classes[1].clone() };
     plan.load.classes.push(Class { per_second: 8.0, ..long });
-    let gap = 700 + 150 * (seed % 7);
+    let gap = 700 + 150 * (plan.seed % 7);
     plan.faults.extend(one_by_one(800, gap, |host| FaultKind::Stop { host }));
     plan
 }
 
+/// Returns the number of faults of a day with many of them, four to eight.
+fn many(seed: u64) -> usize {
+    4 + seed as usize % 5
+}
+
 #[test]
 fn no_violations_on_days_of_planned_stops_beside_many_faults() {
     for seed in 0..seeds() {
-        let plan = dense(seed);
+        let plan = beside_planned_stops(Plan::small(seed).with_drawn_faults(many(seed)));
+
+        let violations = simulate(&plan).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}\n{:#?}", plan.faults);
+    }
+}
+
+/// Links between hosts are reset, and upstreams restart or are replaced at short notice.
+#[test]
+fn no_violations_on_days_of_planned_stops_beside_resets_and_replaced_upstreams() {
+    for seed in 0..seeds() {
+        let plan = beside_planned_stops(Plan::small(seed).with_dense_faults(many(seed)));
 
         let violations = simulate(&plan).violations;
 
--- a/crates/heathertrack_model/tests/links.rs
+++ b/crates/heathertrack_model/tests/links.rs
@@ -1,6 +1,6 @@
 //! Links between the hosts of a large fleet.
 
-use heathertrack_model::{Load, Plan, Site, Verdict, simulate};
+use heathertrack_model::{Fault, FaultKind, Load, Plan, Site, Verdict, simulate};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -50,3 +50,25 @@
         assert_eq!(stats.refused + stats.failed, 0, "{class}");
     }
 }
+
+/// Returns the number of times that a link was established in a small fleet, with a fault or none.
+fn established(kind: Option<FaultKind>) -> usize {
+    let faults = kind.map(|kind| Fault { at: Duration::from_secs(1), kind });
+    let verdict = simulate(&Plan { faults: faults.into_iter().collect(), ..Plan::small(1) });
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.violations);
+    verdict.log.iter().filter(|line| line.contains(r#""event":"peer_found""#)).count()
+}
+
+#[test]
+fn links_are_established_again_after_resets() {
+    let span = Duration::from_millis(500);
+
+    let none = established(None);
+    let one = established(Some(FaultKind::ResetLinks { host: 0, share: 0.2, span }));
+    let all = established(Some(FaultKind::ResetAllLinks { span }));
+
+    // Both ends count a link.
+    assert_eq!(one, none + 2);
+    let hosts = Plan::small(1).site.hosts();
+    assert_eq!(all, none + hosts * (hosts - 1));
+}
