Check the runs of the model when an order is executed

The model compared the runs of a task only at the end of a simulation, and only neighbours in the order of their starts, so that of three runs with one that was started late between them an overlap could go unseen. That a lease is renewed for a run which no live host follows was not checked at all: it showed only if a second run came of it.

An auditor now looks at the fleet after each order that an upstream executes, late ones too. When a run starts, no other upstream may have one of its task (StartedWhileRunning). When a lease is prolonged, by a poll or a start, the process that started each of the runs there is alive, or was killed less than 586 ms ago: 1,300 ms, after which callers send a job again, less a lease on the slowest clock (RenewedWithoutHost). Left out are orders executed late and the runs that they start, as in ConcurrentRuns, and runs that are being stopped. Hosts that are suspended or cut off count as alive, and whether a live host still follows its run isn't visible to the emulated upstream. The check at the end stays.

--- a/crates/heathertrack_model/src/lib.rs
+++ b/crates/heathertrack_model/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(verdict.violations.is_empty(), "{:?}", verdict.violations);
 //! ```
 
+mod audit;
 mod clock;
 mod environment;
 mod fault;
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -1,6 +1,8 @@
 //! Orders from hosts to emulated upstreams, with lost answers and late execution.
 
+use super::audit::{Auditor, Origin};
 use super::network::{Network, Node};
+use super::process::ProcessEnd;
 use super::upstream::{EmulatedUpstream, wait_for_end};
 use heathertrack::name::Upstream;
 use heathertrack::pool::{Listing, StartAnswer, Task};
@@ -38,6 +40,9 @@
     pub network: Rc<Network>,
     pub host: usize,
     pub fleet: Fleet,
+    /// End of the host's process, whose orders these are.
+    pub process_end: ProcessEnd,
+    pub auditor: Rc<Auditor>,
     pub order_faults: Rc<OrderFaults>,
     pub random: Rc<RefCell<StdRng>>,
     /// Receives the index of each upstream that has started a deadly task.
@@ -80,10 +85,20 @@
         if self.draw_chance(self.order_faults.late_share.get()) {
             let delay_s = self.random.borrow_mut().random_range(2.0..12.0);
             // Outside of the host's process, so that it is executed even if the host is killed.
-            self.network.spawn_detached(execute_late(name.clone(), upstream, delay_s, order));
+            let late = LateOrder {
+                name: name.clone(),
+                index,
+                upstream,
+                process: self.process_end.clone(),
+                auditor: self.auditor.clone(),
+                delay: Duration::from_secs_f64(delay_s),
+            };
+            self.network.spawn_detached(late.execute(order));
             return pending().await;
         }
-        let answer = order(&mut upstream.borrow_mut(), false, Instant::now());
+        let origin = Origin { process: self.process_end.clone(), late: false };
+        let execute = |upstream: &mut EmulatedUpstream| order(upstream, false, Instant::now());
+        let answer = self.auditor.execute(index, &mut upstream.borrow_mut(), &origin, execute);
         if self.draw_chance(self.order_faults.lost_answer_share.get()) {
             pending::<()>().await;
         }
@@ -92,18 +107,33 @@
     }
 }
 
-/// Executes an order on an upstream after a delay, unless the upstream is down or another one has
-/// taken its place.
-async fn execute_late<T: 'static>(
+/// An order that is executed after a delay.
+struct LateOrder {
+    /// Upstream that it was given to.
     name: Upstream,
+    /// Index of the upstream.
+    index: usize,
     upstream: Rc<RefCell<EmulatedUpstream>>,
-    delay_s: f64,
-    order: impl FnOnce(&mut EmulatedUpstream, bool, Instant) -> T + 'static,
-) {
-    sleep(Duration::from_secs_f64(delay_s)).await;
-    let is_other = *upstream.borrow().name() != name;
-    if !upstream.borrow().down && !is_other {
-        order(&mut upstream.borrow_mut(), true, Instant::now());
+    /// Process of the host that gave it.
+    process: ProcessEnd,
+    auditor: Rc<Auditor>,
+    delay: Duration,
+}
+
+impl LateOrder {
+    /// Executes the order, unless the upstream is down or another one has taken its place.
+    async fn execute<T: 'static>(
+        self,
+        order: impl FnOnce(&mut EmulatedUpstream, bool, Instant) -> T + 'static,
+    ) {
+        sleep(self.delay).await;
+        let mut upstream = self.upstream.borrow_mut();
+        if upstream.down || *upstream.name() != self.name {
+            return;
+        }
+        let origin = Origin { process: self.process, late: true };
+        let execute = |upstream: &mut EmulatedUpstream| order(upstream, true, Instant::now());
+        self.auditor.execute(self.index, &mut upstream, &origin, execute);
     }
 }
 
--- a/crates/heathertrack_model/src/process.rs
+++ b/crates/heathertrack_model/src/process.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::Instant;
 
 /// An emulated process: a set of tasks that are suspended and killed together.
 #[derive(Clone, Debug)]
@@ -14,7 +15,7 @@
 struct Inner {
     tasks: RefCell<LocalSet>,
     suspended: Cell<bool>,
-    killed: Cell<bool>,
+    end: ProcessEnd,
     /// Wakes the [`ProcessFuture`].
     waker: RefCell<Option<Waker>>,
 }
@@ -25,7 +26,7 @@
         let inner = Rc::new(Inner {
             tasks: RefCell::new(LocalSet::new()),
             suspended: Cell::new(false),
-            killed: Cell::new(false),
+            end: ProcessEnd::default(),
             waker: RefCell::new(None),
         });
         spawn_local(ProcessFuture(inner.clone()));
@@ -52,7 +53,7 @@
 
     /// Kills the process and drops all its tasks.
     pub fn kill(&self) {
-        self.inner.killed.set(true);
+        self.inner.end.record();
         let tasks = self.inner.tasks.replace(LocalSet::new());
         drop(tasks);
         self.wake();
@@ -60,7 +61,12 @@
 
     /// Returns whether the process has been killed.
     pub fn is_killed(&self) -> bool {
-        self.inner.killed.get()
+        self.inner.end.at().is_some()
+    }
+
+    /// Returns when the process was killed, which stays up to date.
+    pub fn end(&self) -> ProcessEnd {
+        self.inner.end.clone()
     }
 
     /// Makes the runtime poll the process.
@@ -71,6 +77,23 @@
     }
 }
 
+/// When a process was killed.
+#[derive(Clone, Debug, Default)]
+pub struct ProcessEnd(Rc<Cell<Option<Instant>>>);
+
+impl ProcessEnd {
+    /// Returns the time at which the process was killed, or `None` while it exists.
+    pub fn at(&self) -> Option<Instant> {
+        self.0.get()
+    }
+
+    fn record(&self) {
+        if self.at().is_none() {
+            self.0.set(Some(Instant::now()));
+        }
+    }
+}
+
 /// Polls the tasks of a process until it is killed, except while it is suspended.
 struct ProcessFuture(Rc<Inner>);
 
@@ -79,7 +102,7 @@
 
     fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
         *self.0.waker.borrow_mut() = Some(context.waker().clone());
-        if self.0.killed.get() {
+        if self.0.end.at().is_some() {
             return Poll::Ready(());
         }
         if self.0.suspended.get() {
--- a/crates/heathertrack_model/src/upstream.rs
+++ b/crates/heathertrack_model/src/upstream.rs
@@ -232,6 +232,27 @@
         (self.created_ms + elapsed_ms).saturating_add_signed(self.time_of_day_step_ms)
     }
 
+    /// Returns the end of the lease of all runs, in milliseconds of the upstream's clock.
+    pub fn lease_end_ms(&self) -> u64 {
+        self.lease_end_ms
+    }
+
+    /// Returns the runs as they were when the upstream last advanced.
+    pub fn running(&self) -> impl Iterator<Item = (Task, u32)> {
+        self.running.iter().map(|(task, run)| (task.clone(), run.number))
+    }
+
+    /// Returns the number of a task's run that is in progress at `now`.
+    pub fn running_number(&self, task: &Task, now: Instant) -> Option<u32> {
+        let run = self.running.get(task)?;
+        (run.ends_at > now && self.lease_expiry() > now).then_some(run.number)
+    }
+
+    /// Returns whether a task's run is being stopped.
+    pub fn is_stopping(&self, task: &Task) -> bool {
+        self.running.get(task).is_some_and(|run| run.end == RunEnd::Stopped)
+    }
+
     /// Extends the lease to `lease_end_ms`, limited to [`MAX_LEASE_MS`] from now.
     fn renew_lease(&mut self, lease_end_ms: u64, now: Instant) {
         let max_ms = self.clock_ms(now) + MAX_LEASE_MS;
--- a/crates/heathertrack_model/src/verdict.rs
+++ b/crates/heathertrack_model/src/verdict.rs
@@ -49,6 +49,12 @@
 #[expect(missing_docs, reason = "the fields are described above")]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Violation {
+    /// A run started while another upstream had one of the same task. `at` is the time since the
+    /// first callers might arrive.
+    StartedWhileRunning { task: Task, at: Duration },
+    /// A lease was prolonged for a run that no live host follows: the process that started it was
+    /// killed `age` before. `at` is the time since the first callers might arrive.
+    RenewedWithoutHost { task: Task, age: Duration, at: Duration },
     /// Two runs of a task overlapped.
     ConcurrentRuns { task: Task, overlap: Duration },
     /// A task was started although all submissions of its job were answered with "not run".
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod fault;
 
+use super::audit::{Auditor, MIN_CLOCK_RATE};
 use super::clock::VirtualClock;
 use super::environment::{EmulatedEnvironment, NoCallerProtocol};
 use super::log_sink::LogSink;
@@ -73,6 +74,7 @@
     network: Rc<Network>,
     store: Rc<StoreState>,
     fleet: Fleet,
+    auditor: Rc<Auditor>,
     job_profiles: JobProfiles,
     order_faults: Rc<OrderFaults>,
     random: Rc<RefCell<StdRng>>,
@@ -116,6 +118,7 @@
             sleep(Duration::from_millis(40)).await;
         }
         sleep(STARTUP_TIME).await;
+        world.auditor.origin.set(Instant::now());
         for fault in world.plan.faults.clone() {
             spawn_local(fault::inject(world.clone(), fault));
         }
@@ -135,11 +138,14 @@
         let random = StdRng::seed_from_u64(plan.seed);
         let stats = vec![JobStats::default(); plan.load.classes.len()];
         let leaving_share = plan.load.leaving_share;
+        let fleet = Fleet::default();
+        let auditor = Auditor::new(&fleet, caller::RESUBMIT_DELAY, plan.options.lease);
         World {
             plan,
             network: Rc::default(),
             store: Rc::default(),
-            fleet: Fleet::default(),
+            fleet,
+            auditor: Rc::new(auditor),
             job_profiles: JobProfiles::default(),
             order_faults: Rc::default(),
             random: Rc::new(RefCell::new(random)),
@@ -178,8 +184,7 @@
                 draining: false,
                 started_ms: Some(FIRST_START_MS),
             };
-            // The clocks of upstreams run up to 2% slow.
-            let clock_rate = self.random.borrow_mut().random_range(0.98..1.0);
+            let clock_rate = self.random.borrow_mut().random_range(MIN_CLOCK_RATE..1.0);
             let speed = site.speeds[index % site.speeds.len()];
             let upstream =
                 EmulatedUpstream::new(record.clone(), speed, clock_rate, &self.job_profiles);
@@ -208,6 +213,7 @@
             grace: STOP_GRACE,
             configuration_time: CONFIGURATION_TIME,
         };
+        let process = Process::new();
         let (network, fleet) = (self.network.clone(), self.fleet.clone());
         let environment = EmulatedEnvironment {
             store: HostStore { state: self.store.clone(), network: network.clone(), host },
@@ -215,6 +221,8 @@
                 network: network.clone(),
                 host,
                 fleet,
+                process_end: process.end(),
+                auditor: self.auditor.clone(),
                 order_faults: self.order_faults.clone(),
                 random: self.random.clone(),
                 deadly_starts: self.deadly_starts.clone(),
@@ -224,7 +232,6 @@
             caller_protocol: NoCallerProtocol,
         };
         let sink = Arc::new(LogSink::new(&self.log));
-        let process = Process::new();
         let entry = Rc::new(RefCell::new(None));
         if let Ok(event_log) = EventLog::with_sink(&settings.name, &settings.data_centre, sink) {
             let slot = entry.clone();
@@ -328,6 +335,7 @@
             }
         }
         let mut violations = std::mem::take(&mut *self.violations.borrow_mut());
+        violations.extend(self.auditor.take_violations());
         let refused = self.refused.borrow();
         let failed = self.failed.borrow().iter().map(|id| (id.clone(), (0, 0))).collect();
         let mut causes: BTreeMap<Id, (usize, usize)> = failed;
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -13,7 +13,7 @@
 
 /// Time after which a caller submits a job again if the connection was lost or the outcome is
 /// unknown.
-const RESUBMIT_DELAY: Duration = Duration::from_millis(1_300);
+pub(super) const RESUBMIT_DELAY: Duration = Duration::from_millis(1_300);
 /// Maximum number of submissions of one job.
 const MAX_SUBMISSIONS: usize = 3;
 /// Multiple of the objective after which an answer is worth nothing.
--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use heathertrack::pool::Options;
 use heathertrack_model::{Class, Fault, FaultKind, Load, Plan, Site, Violation, simulate};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Number of seeds that CI runs.
@@ -156,6 +157,30 @@
     assert!(!causes_concurrent_runs(&Options::default(), &faults));
 }
 
+/// What overlaps at the end has been seen when the second run started, and the other way round.
+#[test]
+fn a_second_run_is_reported_when_it_starts() {
+    let kind = FaultKind::LostAnswers { share: 0.3, span: Duration::from_secs(5) };
+    let faults = vec![Fault { at: Duration::from_secs(1), kind }];
+    let options = Options { stop_unanswered_starts: false, ..Options::default() };
+    let mut reported = BTreeSet::new();
+    let mut overlapping = BTreeSet::new();
+    for seed in 0..MECHANISM_SEEDS {
+        let plan = Plan { options: options.clone(), faults: faults.clone(), ..Plan::small(seed) };
+
+        for violation in simulate(&plan).violations {
+            match violation {
+                Violation::StartedWhileRunning { task, .. } => reported.insert((seed, task)),
+                Violation::ConcurrentRuns { task, .. } => overlapping.insert((seed, task)),
+                _ => false,
+            };
+        }
+    }
+
+    assert!(!reported.is_empty());
+    assert_eq!(reported, overlapping);
+}
+
 #[test]
 fn keeping_runs_of_a_lost_host_causes_concurrent_runs() {
     let faults =
--- a/crates/heathertrack_model/tests/leases.rs
+++ b/crates/heathertrack_model/tests/leases.rs
@@ -59,15 +59,33 @@
     first.into_iter().chain(faults(other, one, ms(5_000))).collect()
 }
 
+/// Returns kills of hosts while they stop.
+fn kills_while_stopping(seed: u64) -> Vec<Fault> {
+    in_turn(|host, _, at| {
+        let after = ms(200 + 150 * (seed % 8));
+        let kind = FaultKind::KillWhileStopping { host, after, down: ms(500) };
+        vec![Fault { at, kind }]
+    })
+}
+
 #[test]
 fn runs_of_a_host_killed_while_it_stops_are_not_kept_alive() {
-    check(|seed| {
-        in_turn(|host, _, at| {
-            let after = ms(200 + 150 * (seed % 8));
-            let kind = FaultKind::KillWhileStopping { host, after, down: ms(500) };
-            vec![Fault { at, kind }]
-        })
-    });
+    check(kills_while_stopping);
+}
+
+/// The check of leases sees the renewal itself, whether or not a second run follows.
+#[test]
+fn a_renewal_for_a_lost_host_is_reported() {
+    let options = Options { withhold_from_strays: false, ..Options::default() };
+    let is_reported = |seed: u64| {
+        let faults = kills_while_stopping(seed);
+        let verdict = simulate(&Plan { options: options.clone(), faults, ..long_tasks(seed) });
+        let is_renewal =
+            |violation: &Violation| matches!(violation, Violation::RenewedWithoutHost { .. });
+        verdict.violations.iter().any(is_renewal)
+    };
+
+    assert!((0..MECHANISM_SEEDS).any(is_reported));
 }
 
 #[test]
