Check renewals in the fuzzed dispatcher

The fuzzed dispatcher of leased runs checked each start against the runs on the other upstreams, but not what its renewals covered: a run that it had forgotten and kept alive showed only if its task was started again.

When a poll or a start prolongs the lease of an upstream, the dispatcher now has to follow each run there that isn't being stopped. Pool::follows tells that. The other fuzzed model (tests/fuzz/world.rs) has no upstreams and counts the starts of a key when they happen.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -397,6 +397,12 @@
         self.loss_counts[cause as usize]
     }
 
+    /// Returns whether this dispatcher follows a run on an upstream to its end.
+    pub fn follows(&self, upstream: UpstreamKey, task: &Task, number: u32) -> bool {
+        let run = self.runs_by_task.get(&(task.clone(), number));
+        run.and_then(|run| self.runs.get(*run)).is_some_and(|run| run.upstream == upstream)
+    }
+
     /// Returns the number of tasks under which upstreams were lost, and that are remembered for it.
     pub fn quarantined_tasks(&self, now: Time) -> usize {
         self.quarantine.len(now)
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -77,6 +77,8 @@
     done: BTreeSet<Task>,
     /// Index among its job's submissions of the one for which each run was ordered.
     submission_by_run: BTreeMap<RunKey, usize>,
+    /// Whether renewals are checked.
+    checks_renewals: bool,
 }
 
 /// Returns the identifier of a job, which `Model::submissions` parses.
@@ -151,6 +153,7 @@
             cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
             submission_by_run: BTreeMap::new(),
+            checks_renewals: true,
         };
         for index in 0..UPSTREAMS {
             model.update_record(index);
@@ -158,6 +161,11 @@
         model
     }
 
+    /// Leaves out the check of renewals, so that the others find what they would find after it.
+    pub fn without_renewal_check(self) -> Self {
+        Model { checks_renewals: false, ..self }
+    }
+
     fn time(&self) -> Time {
         Time::from_millis(self.now)
     }
@@ -437,6 +445,7 @@
                 self.record_ends(index);
                 let submission = self.submission_by_run.get(run).copied().unwrap_or_default();
                 let start = StartOrder { task, number: *number, submission, delayed };
+                self.check_renewal(*upstream, Some(*lease_end_ms))?;
                 self.execute_start(index, &start, *lease_end_ms)
             }
             Effect::Stop { upstream, task, number, .. } => {
@@ -448,12 +457,30 @@
             Effect::Poll { upstream, lease_end_ms, acknowledged, .. } => {
                 let index = self.index(*upstream);
                 self.record_ends(index);
+                self.check_renewal(*upstream, *lease_end_ms)?;
                 Ok(Answer::Listing(self.upstreams[index].poll(*lease_end_ms, *acknowledged, now)))
             }
             Effect::Finish { .. } | Effect::ReportLoss(_) | Effect::Log(_) => Ok(Answer::Confirmed),
         }
     }
 
+    /// Checks, when an order prolongs the lease of an upstream, that the dispatcher follows each run
+    /// there that isn't being stopped.
+    fn check_renewal(&mut self, key: UpstreamKey, lease_end_ms: Option<u64>) -> Result<(), String> {
+        let index = self.index(key);
+        let upstream = &self.upstreams[index];
+        let is_renewal = lease_end_ms.is_some_and(|end| end > upstream.lease_end_ms());
+        if !is_renewal || !self.checks_renewals {
+            return Ok(());
+        }
+        let is_stopping = |run: &Running| run.end == RunEnd::Stopped;
+        let mut runs = upstream.running.iter().filter(|(_, run)| !is_stopping(run));
+        match runs.find(|(task, run)| !self.pool.follows(key, task, run.number)) {
+            Some((task, _)) => Err(format!("the lease of {task} is renewed, which nobody follows")),
+            None => Ok(()),
+        }
+    }
+
     fn execute_start(
         &mut self,
         index: usize,
--- a/crates/heathertrack/tests/fuzz/pool/upstream.rs
+++ b/crates/heathertrack/tests/fuzz/pool/upstream.rs
@@ -48,6 +48,11 @@
         now - self.started_at + CLOCK_AT_START_MS
     }
 
+    /// Returns the end of the lease, in milliseconds on the upstream's clock.
+    pub fn lease_end_ms(&self) -> u64 {
+        self.lease_end_ms
+    }
+
     /// Ends the runs that are over by now. Returns them and how each ended.
     pub fn advance(&mut self, now: u64) -> Vec<(Task, Running, RunEnd)> {
         let mut over = Vec::new();
