Show leases that orders for a former process prolong

Cause: the end of a lease is a time on the upstream's clock, and an order doesn't say which process it is for. A process that has started again counts from zero, so an order given before that ends far ahead and is granted the longest lease, 1,000 ms, 2 to 12 s after it was given.

The test restarts all upstreams after two seconds of late orders and kills all hosts twice.

--- a/crates/heathertrack_model/tests/leases.rs
+++ b/crates/heathertrack_model/tests/leases.rs
@@ -148,3 +148,20 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
     }
 }
+
+/// The leases of these orders end on the clock of the former process, far ahead of the new one.
+#[test]
+fn late_orders_for_a_former_process_keep_no_lost_run_alive() {
+    for seed in 0..seeds() {
+        let late = FaultKind::LateOrders { share: 0.3, span: ms(2_000) };
+        let restart = |upstream| FaultKind::Restart { upstream, down: ms(300), delay: ms(0) };
+        let kills = [4_300, 6_300].map(|at| (at, FaultKind::KillAll { down: ms(400) }));
+        let restarts = (0..12).map(|upstream| (2_300, restart(upstream)));
+        let all = [(200, late)].into_iter().chain(restarts).chain(kills);
+        let faults = all.map(|(at, kind)| Fault { at: ms(at), kind }).collect();
+
+        let violations = simulate(&Plan { faults, ..long_tasks(seed) }).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
