--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use heathertrack::pool::Options;
 use heathertrack_model::{Class, Fault, FaultKind, Load, Plan, Site, Violation, simulate};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Number of seeds that CI runs.
@@ -37,21 +38,37 @@
     check((0..seeds()).map(Plan::small));
 }
 
-/// Returns the plan of a day with planned stops of all hosts in turn, and four to eight faults beside
-/// them. Half of the tasks last several leases, so that they outlive a stop and what goes wrong in it.
-fn dense(seed: u64) -> Plan {
-    let mut plan = Plan::small(seed).with_drawn_faults(4 + seed as usize % 5);
+/// Adds planned stops of all hosts in turn to the faults of a plan. Half of the tasks last several
+/// leases, so that they outlive a stop and what goes wrong in it.
+fn beside_planned_stops(mut plan: Plan) -> Plan {
     let long = Class { work: Duration::from_millis(2_500), ..plan.load.classes[1].clone() };
     plan.load.classes.push(Class { per_second: 8.0, ..long });
-    let gap = 700 + 150 * (seed % 7);
+    let gap = 700 + 150 * (plan.seed % 7);
     plan.faults.extend(one_by_one(800, gap, |host| FaultKind::Stop { host }));
     plan
 }
 
+/// Returns the number of faults of a day with many of them, four to eight.
+fn many(seed: u64) -> usize {
+    4 + seed as usize % 5
+}
+
 #[test]
 fn no_violations_on_days_of_planned_stops_beside_many_faults() {
     for seed in 0..seeds() {
-        let plan = dense(seed);
+        let plan = beside_planned_stops(Plan::small(seed).with_drawn_faults(many(seed)));
+
+        let violations = simulate(&plan).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}\n{:#?}", plan.faults);
+    }
+}
+
+/// Links between hosts are reset, and upstreams restart or are replaced at short notice.
+#[test]
+fn no_violations_on_days_of_planned_stops_beside_resets_and_replaced_upstreams() {
+    for seed in 0..seeds() {
+        let plan = beside_planned_stops(Plan::small(seed).with_dense_faults(many(seed)));
 
         let violations = simulate(&plan).violations;
 
@@ -140,6 +157,30 @@
     assert!(!causes_concurrent_runs(&Options::default(), &faults));
 }
 
+/// What overlaps at the end has been seen when the second run started, and the other way round.
+#[test]
+fn a_second_run_is_reported_when_it_starts() {
+    let kind = FaultKind::LostAnswers { share: 0.3, span: Duration::from_secs(5) };
+    let faults = vec![Fault { at: Duration::from_secs(1), kind }];
+    let options = Options { stop_unanswered_starts: false, ..Options::default() };
+    let mut reported = BTreeSet::new();
+    let mut overlapping = BTreeSet::new();
+    for seed in 0..MECHANISM_SEEDS {
+        let plan = Plan { options: options.clone(), faults: faults.clone(), ..Plan::small(seed) };
+
+        for violation in simulate(&plan).violations {
+            match violation {
+                Violation::StartedWhileRunning { task, .. } => reported.insert((seed, task)),
+                Violation::ConcurrentRuns { task, .. } => overlapping.insert((seed, task)),
+                _ => false,
+            };
+        }
+    }
+
+    assert!(!reported.is_empty());
+    assert_eq!(reported, overlapping);
+}
+
 #[test]
 fn keeping_runs_of_a_lost_host_causes_concurrent_runs() {
     let faults =
--- a/crates/heathertrack_model/tests/leases.rs
+++ b/crates/heathertrack_model/tests/leases.rs
@@ -59,15 +59,33 @@
     first.into_iter().chain(faults(other, one, ms(5_000))).collect()
 }
 
+/// Returns kills of hosts while they stop.
+fn kills_while_stopping(seed: u64) -> Vec<Fault> {
+    in_turn(|host, _, at| {
+        let after = ms(200 + 150 * (seed % 8));
+        let kind = FaultKind::KillWhileStopping { host, after, down: ms(500) };
+        vec![Fault { at, kind }]
+    })
+}
+
 #[test]
 fn runs_of_a_host_killed_while_it_stops_are_not_kept_alive() {
-    check(|seed| {
-        in_turn(|host, _, at| {
-            let after = ms(200 + 150 * (seed % 8));
-            let kind = FaultKind::KillWhileStopping { host, after, down: ms(500) };
-            vec![Fault { at, kind }]
-        })
-    });
+    check(kills_while_stopping);
+}
+
+/// The check of leases sees the renewal itself, whether or not a second run follows.
+#[test]
+fn a_renewal_for_a_lost_host_is_reported() {
+    let options = Options { withhold_from_strays: false, ..Options::default() };
+    let is_reported = |seed: u64| {
+        let faults = kills_while_stopping(seed);
+        let verdict = simulate(&Plan { options: options.clone(), faults, ..long_tasks(seed) });
+        let is_renewal =
+            |violation: &Violation| matches!(violation, Violation::RenewedWithoutHost { .. });
+        verdict.violations.iter().any(is_renewal)
+    };
+
+    assert!((0..MECHANISM_SEEDS).any(is_reported));
 }
 
 #[test]
@@ -130,3 +148,20 @@
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
     }
 }
+
+/// The leases of these orders end on the clock of the former process, far ahead of the new one.
+#[test]
+fn late_orders_for_a_former_process_keep_no_lost_run_alive() {
+    for seed in 0..seeds() {
+        let late = FaultKind::LateOrders { share: 0.3, span: ms(2_000) };
+        let restart = |upstream| FaultKind::Restart { upstream, down: ms(300), delay: ms(0) };
+        let kills = [4_300, 6_300].map(|at| (at, FaultKind::KillAll { down: ms(400) }));
+        let restarts = (0..12).map(|upstream| (2_300, restart(upstream)));
+        let all = [(200, late)].into_iter().chain(restarts).chain(kills);
+        let faults = all.map(|(at, kind)| Fault { at: ms(at), kind }).collect();
+
+        let violations = simulate(&Plan { faults, ..long_tasks(seed) }).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
