Don't lay a customer's own failures on upstreams

A customer whose tasks failed wherever they ran ejected as many upstreams as may be ejected at once, for all customers, and its tasks, as those of least worth, were the probes that kept them ejected; upstreams that did fail everyone stayed in use beside that.

Cause: each failure counted against the upstream, whichever customer the task was of. docs/design/placement.md bounds ejections to a third, but means them for upstreams that fail what they start. `pool/health.rs`, the path of the users' platform, asks for failures of two jobs; here that would leave a customer alone with a faulty upstream.

Now a customer's failures count against upstreams until its tasks have failed, without a success between, on more upstreams than may be ejected at once. From then on they say nothing about any upstream, until a task of the customer succeeds; and other customers' tasks come first as probes. Up to that number, faulty upstreams are ejected as before, also for a single customer.

--- a/crates/heathertrack/src/dispatch.rs
+++ b/crates/heathertrack/src/dispatch.rs
@@ -2,6 +2,7 @@
 //! estimates and upstream health.
 
 mod admission;
+mod attribution;
 mod capacity;
 mod dispatcher;
 mod estimate;
@@ -33,6 +34,8 @@
 pub use task::Task;
 pub use upstream::{ExpectedEnd, Spec, Upstream, UpstreamKey};
 
+use attribution::Attribution;
+
 /// Outcome of a run, as reported to the dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Finish {
--- a/crates/heathertrack/src/dispatch/dispatcher.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher.rs
@@ -1,7 +1,7 @@
 use super::upstream::UpstreamKey;
 use super::{
-    Estimates, Fairness, Finish, Options, PlacementPolicy, Queue, QueueKey, Rank, Shape, Spec,
-    Task, Upstream,
+    Attribution, Estimates, Fairness, Finish, Options, PlacementPolicy, Queue, QueueKey, Rank,
+    Shape, Spec, Task, Upstream,
 };
 use crate::clock::Time;
 use crate::name::Upstream as Name;
@@ -33,6 +33,7 @@
     running: SlotMap<RunKey, Running>,
     estimates: Estimates,
     fairness: Fairness,
+    attribution: Attribution,
     rng_state: u64,
 }
 
@@ -66,6 +67,7 @@
             running: SlotMap::with_key(),
             estimates: Estimates::default(),
             fairness: Fairness::default(),
+            attribution: Attribution::default(),
             // The state of the generator must not be 0.
             rng_state: options.seed | 1,
         }
@@ -176,12 +178,16 @@
         match finish {
             Finish::Succeeded => {
                 upstream.health.record_success(now);
+                self.attribution.record_success(&running.task.customer);
                 self.learn(&running, elapsed);
                 false
             }
             Finish::Failed => {
-                let should_eject = upstream.health.record_failure(now);
-                should_eject && self.try_eject(running.upstream, now)
+                let (customer, at) = (&running.task.customer, running.upstream);
+                let max_ejected = self.max_ejected();
+                self.attribution.record_failure(customer, at, max_ejected)
+                    && self.upstreams[at].health.record_failure(now)
+                    && self.try_eject(at, now)
             }
             Finish::Unsent => {
                 upstream.health.record_unreachable(now);
@@ -200,18 +206,26 @@
 
     /// Ejects an upstream unless too many are ejected already. Returns whether it is ejected now.
     fn try_eject(&mut self, key: UpstreamKey, now: Time) -> bool {
-        let owned = self.upstreams.values().filter(|upstream| upstream.owned).count();
+        let owned = self.owned_count();
         let ejected = self.upstreams.values().filter(|u| u.owned && u.health.is_ejected()).count();
-        // With few upstreams the share rounds down to 0, so at least one may be ejected. The last
-        // one that is not ejected stays.
-        let max_ejected = ((owned as f64 * self.options.max_ejected_share) as usize).max(1);
-        if ejected >= max_ejected || ejected + 1 >= owned {
+        // The last one that is not ejected stays.
+        if ejected >= self.max_ejected() || ejected + 1 >= owned {
             return false;
         }
         self.upstreams[key].health.eject(now);
         true
     }
 
+    /// Number of upstreams that may be ejected at once. With few upstreams the share rounds down to
+    /// 0, so at least one may be.
+    fn max_ejected(&self) -> usize {
+        ((self.owned_count() as f64 * self.options.max_ejected_share) as usize).max(1)
+    }
+
+    fn owned_count(&self) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.owned).count()
+    }
+
     /// Expected run time of a task on an upstream of nominal speed.
     pub fn expected_run_time(&self, class: &crate::name::Class, declared: Duration) -> Duration {
         self.estimates.expected_run_time(class, declared)
--- a/crates/heathertrack/src/dispatch/dispatcher/pick.rs
+++ b/crates/heathertrack/src/dispatch/dispatcher/pick.rs
@@ -34,7 +34,8 @@
     }
 
     /// Returns an upstream that is to be probed and runs nothing, and for it the task of least
-    /// worth among those that rank last.
+    /// worth among those that rank last. Tasks of customers that fail everywhere come after all
+    /// others, as their failure tells nothing.
     fn pick_probe(&self, now: Time) -> Option<(QueueKey, UpstreamKey)> {
         let needs_probe = |u: &Upstream| {
             u.accepts_tasks(now)
@@ -47,11 +48,18 @@
         let last_ranked = self
             .queue
             .ranked_last(MAX_EXAMINED_PER_SHAPE, |shape| size.holds(&shape.lower_bound()));
-        let least =
-            last_ranked.filter(fits).min_by(|a, b| self.worth(*a).total_cmp(&self.worth(*b)))?;
+        let least = last_ranked.filter(fits).min_by(|a, b| {
+            let by_worth = || self.worth(*a).total_cmp(&self.worth(*b));
+            self.fails_everywhere(*a).cmp(&self.fails_everywhere(*b)).then_with(by_worth)
+        })?;
         Some((least, upstream_key))
     }
 
+    fn fails_everywhere(&self, key: QueueKey) -> bool {
+        let queued = self.queue.get(key);
+        queued.is_some_and(|queued| self.attribution.fails_everywhere(&queued.task.customer))
+    }
+
     fn worth(&self, key: QueueKey) -> f64 {
         self.queue.get(key).map_or(f64::INFINITY, |queued| queued.task.worth)
     }
