Take no seats before the lists are known

The next process of a killed host used its share of the allowances while tasks of the killed one could still run: after 3.0 s with a longest deadline of 3 s, where 5 s are due, and within 6 s with one of 20 s. So an allowance could be exceeded after each kill and restart.

Cause: seats inherited from a process that is gone lie unused for the longest deadline plus 2 s. A process that read the table of seats before the lists knew no plan, and took the longest deadline for zero.

Now the table is neither read nor written before both lists are known; the host isn't ready for callers until then either.

`allowance::the_share_of_a_killed_host_lies_unused_while_its_next_process_knows_no_lists` failed before (30 seats in use) and passes now. Run on this commit: the testkit's allowance, kill, outage and operators, all passed.

--- a/crates/heathertrack_testkit/tests/allowance.rs
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -213,3 +213,23 @@
     let seats = usize::from(SEATS);
     eventually("all seats are in use", || async { seats_in_use(&cluster).await == seats }).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_share_of_a_killed_host_lies_unused_while_its_next_process_knows_no_lists() {
+    let spec = ClusterSpec::default()
+        .data_centres(&["ee-north-1"])
+        .hosts_per_centre(2)
+        .upstream_slowness(&[1.0]);
+    let mut cluster = Cluster::start(spec.with_relays()).await;
+
+    // The next process gets the lists neither from the store nor from its peer. Tasks of the killed
+    // one may run for 20 s, the longest deadline.
+    cluster.refuse(|_, to| !Cluster::is_platform(to));
+    cluster.write_list("allowances", &json!("no list")).await;
+    cluster.hosts[1].process.kill();
+    cluster.hosts[1].restart();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    let status = cluster.hosts[1].status().await.expect("the host answers");
+    assert_eq!((status.ready, status.seats), (false, 0));
+}
--- a/crates/heathertrackd/src/seats.rs
+++ b/crates/heathertrackd/src/seats.rs
@@ -72,8 +72,12 @@
 
     /// Reads the table, updates the usable seats, and writes at most one new table: with a change
     /// that is due, or without the retired seats once the tasks in flight and the loans fit into
-    /// the others.
+    /// the others. Does nothing while the lists are unknown, as the quiet period of inherited seats
+    /// follows from the longest deadline.
     async fn reconcile(&mut self) {
+        if !self.state.lists.are_known() {
+            return;
+        }
         let Some(read) = self.read().await else {
             return;
         };
