Announce that the connection closes when a request is refused unread

Callers got no response to the request after a refusal (400 for a malformed key, 401, 404, 405; on the users' platform 404 and 503): these are sent before the body is read, the HTTP library then closes the connection unless the body came with the header, and the response did not say so, so the caller sent its next request on it. Only 413, and on the users' platform 408, were announced.

Change: a refused request is read to its end if the rest is short and comes at once, so that its connection stays usable; otherwise the response announces the close. This holds for callers and operators of both interfaces, and replaces the cases for 408 and 413.

--- a/crates/heathertrackd/src/callers/body.rs
+++ b/crates/heathertrackd/src/callers/body.rs
@@ -11,7 +11,7 @@
 
 /// Reads a request's whole body as text. A body that can't be read is reported as not run, since it
 /// was never accepted under any key.
-pub async fn read(body: Incoming) -> Result<String, Problem> {
+pub async fn read(body: &mut Incoming) -> Result<String, Problem> {
     let limited = Limited::new(body, MAX_BODY_BYTES);
     let collected = match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
         Ok(Ok(collected)) => collected,
--- a/crates/heathertrackd/src/callers/handle.rs
+++ b/crates/heathertrackd/src/callers/handle.rs
@@ -5,12 +5,14 @@
 use crate::home;
 use crate::route::{self, KeyRequest};
 use crate::state::State;
+use crate::unread_body;
 use heathertrack::name::Customer;
 use heathertrack::run::ExecutionStatus;
 use heathertrack_wire::caller::{Key, Outcome, Problem, ProblemKind, Ticket};
 use heathertrack_wire::frame::Action;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
+use hyper::http::request::Parts;
 use hyper::{Method, Request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,27 +29,32 @@
 
 /// Answers one request.
 pub async fn answer(state: &Arc<State>, request: Request<Incoming>) -> Reply {
-    match route_request(state, request).await {
-        Ok(reply) => reply,
-        Err(problem) => reply::problem(&problem),
-    }
+    let (head, mut body) = request.into_parts();
+    let routed = route_request(state, &head, &mut body).await;
+    let mut reply = routed.unwrap_or_else(|problem| reply::problem(&problem));
+    unread_body::finish(&head, &mut body, &mut reply).await;
+    reply
 }
 
-async fn route_request(state: &Arc<State>, request: Request<Incoming>) -> Result<Reply, Problem> {
-    let path = request.uri().path().to_owned();
-    let method = request.method().clone();
+async fn route_request(
+    state: &Arc<State>,
+    head: &Parts,
+    body: &mut Incoming,
+) -> Result<Reply, Problem> {
+    let path = head.uri.path();
+    let method = head.method.clone();
     if path == "/healthz" {
         return Ok(health(state));
     }
     if path == JOBS_PATH {
         return match method {
-            Method::POST => submit(state, request).await,
+            Method::POST => submit(state, &head.headers, body).await,
             _ => Err(wrong_method("POST")),
         };
     }
     if path == TICKETS_PATH {
         return match method {
-            Method::POST => issue_ticket(state, request.headers()),
+            Method::POST => issue_ticket(state, &head.headers),
             _ => Err(wrong_method("POST")),
         };
     }
@@ -57,7 +64,7 @@
             Method::DELETE => Action::Cancel,
             _ => return Err(wrong_method("GET or DELETE")),
         };
-        return handle_job_request(state, request.headers(), key, action).await;
+        return handle_job_request(state, &head.headers, key, action).await;
     }
     Err(Problem::new(
         ProblemKind::NotFound,
@@ -100,10 +107,14 @@
     Ok(reply::json(&Ticket { ticket: ticket.to_string(), valid_ms }))
 }
 
-async fn submit(state: &Arc<State>, request: Request<Incoming>) -> Result<Reply, Problem> {
-    let key = idempotency_key(request.headers())?;
-    let customer = authenticate(state, request.headers(), key.as_ref()).await?;
-    let body = body::read(request.into_body()).await?;
+async fn submit(
+    state: &Arc<State>,
+    headers: &HeaderMap,
+    body: &mut Incoming,
+) -> Result<Reply, Problem> {
+    let key = idempotency_key(headers)?;
+    let customer = authenticate(state, headers, key.as_ref()).await?;
+    let body = body::read(body).await?;
     let outcome = match key {
         None => home::submit_unkeyed(state, &customer, &body).await,
         Some(key) => {
--- a/crates/heathertrackd/src/callers/reply.rs
+++ b/crates/heathertrackd/src/callers/reply.rs
@@ -2,9 +2,9 @@
 
 use crate::metrics;
 use bytes::Bytes;
-use heathertrack_wire::caller::{Outcome, Problem, ProblemKind};
+use heathertrack_wire::caller::{Outcome, Problem};
 use http_body_util::Full;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
@@ -46,10 +46,6 @@
     metrics::problem(problem);
     let body = Outcome::Problem(problem.clone()).body();
     let mut reply = reply(problem.status(), PROBLEM_JSON, body);
-    if problem.kind == ProblemKind::TooLarge {
-        // The rest of the body is not read, so the connection can't carry another request.
-        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
     if let Some(millis) = problem.retry_after_ms {
         let seconds = millis.div_ceil(1_000).to_string();
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -5,6 +5,7 @@
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use super::transport::{Transport, serve_all};
+use crate::unread_body;
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
 use heathertrack::pool::job::{Id, Outcome, Request, critical_path};
@@ -100,8 +101,9 @@
     async fn answer(self: Rc<Self>, request: hyper::Request<Incoming>) -> Response<String> {
         let waiting = WaitingCaller::new(&self);
         let received = self.now();
-        let (head, body) = request.into_parts();
-        let mut response = self.handle_request(&head, body, received).await;
+        let (head, mut body) = request.into_parts();
+        let mut response = self.handle_request(&head, &mut body, received).await;
+        unread_body::finish(&head, &mut body, &mut response).await;
         drop(waiting);
         if self.state.borrow().leaving {
             response = closing(response);
@@ -113,7 +115,7 @@
     async fn handle_request(
         self: &Rc<Self>,
         head: &Parts,
-        body: Incoming,
+        body: &mut Incoming,
         received: Time,
     ) -> Response<String> {
         let Some(table) = self.wait_for_configuration().await else {
@@ -240,7 +242,7 @@
     async fn submit(
         self: &Rc<Self>,
         head: &Parts,
-        body: Incoming,
+        body: &mut Incoming,
         table: &RouteTable,
         route: &Route,
         id: Id,
@@ -253,14 +255,14 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
                 let status = StatusCode::PAYLOAD_TOO_LARGE;
-                return closing(self.refuse(head, status, "body too large", version));
+                return self.refuse(head, status, "body too large", version);
             }
             Ok(Err(_)) => {
                 return self.refuse(head, StatusCode::BAD_REQUEST, "body not read", version);
             }
             Err(_) => {
                 let status = StatusCode::REQUEST_TIMEOUT;
-                return closing(self.refuse(head, status, "body too slow", version));
+                return self.refuse(head, status, "body too slow", version);
             }
         };
         let submission = match self.environment.caller_protocol().parse_submission(&body) {
@@ -330,8 +332,7 @@
     }
 }
 
-/// Announces that the connection is closed after this response, as the rest of the request is not
-/// read or the host is leaving.
+/// Announces that the connection is closed after this response.
 fn closing(mut response: Response<String>) -> Response<String> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
--- a/crates/heathertrackd/src/lib.rs
+++ b/crates/heathertrackd/src/lib.rs
@@ -41,6 +41,7 @@
 mod status;
 mod tick;
 mod timer;
+mod unread_body;
 
 pub use node::{Addresses, BindError, Node};
 pub use settings::{BaselinePolicy, Limits, Listen, Platform, Policy, Settings};
