Read on after a refusal instead of resetting the connection

Callers that were still sending a request lost the refusal: the host closed the connection with unread bytes, which resets it, and a client whose sending fails gives up before it reads the response (RFC 9112, section 9.6).

Tests: path::refusal_of_an_unread_body_does_not_reset_the_connection (testkit and stand-in), red before (broken pipe); connection_of_a_refused_client_that_goes_on_sending_is_closed guards the limit.

--- a/crates/heathertrack_testkit/tests/path.rs
+++ b/crates/heathertrack_testkit/tests/path.rs
@@ -2,7 +2,7 @@
 //! completely, and each task starts once.
 
 use heathertrack_testkit::client::{Answer, Client, new_uuid};
-use heathertrack_testkit::fixture::{Cluster, ClusterSpec};
+use heathertrack_testkit::fixture::{Cluster, ClusterSpec, eventually};
 use heathertrack_testkit::oracle::Oracle;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -162,6 +162,38 @@
     assert!(response.contains("connection: close"), "{response}");
 }
 
+/// A reset of the connection makes a client that is still sending lose the response.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_an_unread_body_does_not_reset_the_connection() {
+    let cluster = Cluster::start(ClusterSpec::default().data_centres(&["ee-north-1"])).await;
+    let mut stream = TcpStream::connect(cluster.hosts[0].caller_address).await.unwrap();
+    // 3 MiB, more than fits into the buffers of a connection that nobody reads.
+    let body = vec![b' '; 3 << 20];
+
+    stream.write_all(refused_head(body.len()).as_bytes()).await.unwrap();
+    stream.readable().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let sent = stream.write_all(&body).await;
+    let response = read_response(&mut stream).await;
+
+    assert!(sent.is_ok(), "{sent:?}");
+    assert!(response.starts_with("http/1.1 400"), "{response}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_of_a_refused_client_that_goes_on_sending_is_closed() {
+    let cluster = Cluster::start(ClusterSpec::default().data_centres(&["ee-north-1"])).await;
+    let stream = TcpStream::connect(cluster.hosts[0].caller_address).await.unwrap();
+    let stream = &tokio::sync::Mutex::new(stream);
+
+    stream.lock().await.write_all(refused_head(1 << 30).as_bytes()).await.unwrap();
+
+    eventually("the host closes the connection", || async {
+        stream.lock().await.write_all(b" ").await.is_err()
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_before_a_short_body_arrives_keeps_the_connection() {
     let cluster = Cluster::start(ClusterSpec::default().data_centres(&["ee-north-1"])).await;
--- a/crates/heathertrackd/src/callers/listener.rs
+++ b/crates/heathertrackd/src/callers/listener.rs
@@ -1,6 +1,7 @@
 //! HTTP server for the interfaces for callers and operators.
 
 use super::Reply;
+use crate::linger;
 use crate::state::State;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -125,9 +126,16 @@
 {
     let _ = stream.set_nodelay(true);
     let state = state.clone();
+    let lingering = linger::Switch::default();
+    let stream = linger::Stream::new(stream, lingering.clone());
     let service = service_fn(move |request| {
         let answered = answer(state.clone(), request);
-        async move { Ok::<_, Infallible>(answered.await) }
+        let lingering = lingering.clone();
+        async move {
+            let reply = answered.await;
+            lingering.observe(&reply);
+            Ok::<_, Infallible>(reply)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     let connection = graceful.watch(connection);
--- a/crates/heathertrackd/src/entry/callers.rs
+++ b/crates/heathertrackd/src/entry/callers.rs
@@ -5,6 +5,7 @@
 use super::metrics;
 use super::node::{EntryHost, Environment};
 use super::transport::{Transport, serve_all};
+use crate::linger;
 use crate::unread_body;
 use heathertrack::clock::Time;
 use heathertrack::name::Host;
@@ -61,9 +62,15 @@
     stream: <E::Transport as Transport>::Stream,
 ) {
     let limits = entry.limits();
+    let lingering = linger::Switch::default();
+    let stream = linger::Stream::new(stream, lingering.clone());
     let service = service_fn(|request| {
-        let entry = entry.clone();
-        async move { Ok::<_, Infallible>(entry.answer(request).await) }
+        let (entry, lingering) = (entry.clone(), lingering.clone());
+        async move {
+            let response = entry.answer(request).await;
+            lingering.observe(&response);
+            Ok::<_, Infallible>(response)
+        }
     });
     // A broken connection needs no answer. Its request future is dropped, which cancels its jobs.
     let _ = http1::Builder::new()
--- a/crates/heathertrackd/src/lib.rs
+++ b/crates/heathertrackd/src/lib.rs
@@ -26,6 +26,7 @@
 mod home;
 mod hosts;
 mod job;
+mod linger;
 mod lists;
 pub mod log;
 mod metrics;
