Let tasks of the upstream stand-in end by their deadline

Cause: a host closes the connection of a task that has no answer at its deadline, and gives the permit back.

Which side is wrong: docs/design/allowances.md lets a task whose connection was lost count until its deadline, and docs/PROMISES.md assumes that it ends by then; upstreams are told the time left (Task-Deadline-Ms). The stand-in did not keep to it.

Change: the stand-in runs a task on when its connection is closed, as an upstream may, until it is done or its time left is over, and records that end.

Test: allowance::a_task_that_outlasts_its_deadline_is_not_counted_with_later_ones, red before (2 at once of 1 allowed; the first start had no end on record, the second began 504 ms after it, at a deadline of 500 ms).

--- a/crates/heathertrack_testkit/src/server.rs
+++ b/crates/heathertrack_testkit/src/server.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -33,6 +34,8 @@
     pub if_none_match: String,
     /// Value of the `Task-Key` header, or an empty string.
     pub task_key: String,
+    /// Time until the deadline of the task, from the `Task-Deadline-Ms` header if there is one.
+    pub time_left: Option<Duration>,
     /// Request body.
     pub body: Bytes,
 }
@@ -74,10 +77,13 @@
     let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
     let if_none_match = header("if-none-match").unwrap_or_default().to_owned();
     let task_key = header("task-key").unwrap_or_default().to_owned();
+    let deadline_ms = header("task-deadline-ms").and_then(|value| value.parse().ok());
+    let time_left = deadline_ms.map(Duration::from_millis);
     let method = request.method().to_string();
     let path = request.uri().path().to_owned();
     let body = request.into_body().collect().await?.to_bytes();
-    match handler(ReceivedRequest { method, path, if_none_match, task_key, body }).await {
+    let received = ReceivedRequest { method, path, if_none_match, task_key, time_left, body };
+    match handler(received).await {
         Action::Answer(reply) => Ok(reply),
         Action::Close => {
             // The connection is dropped before this response is ready.
--- a/crates/heathertrack_testkit/src/upstream.rs
+++ b/crates/heathertrack_testkit/src/upstream.rs
@@ -84,15 +84,29 @@
         if self.lock().setting.mode == Mode::Refuse {
             return Action::Close;
         }
+        // Spawned, so that the task goes on when its connection is closed.
+        match tokio::spawn(self.run_until_deadline(request)).await {
+            Ok(Some(action)) => action,
+            // The caller stops waiting at the deadline by itself.
+            Ok(None) => std::future::pending().await,
+            Err(_) => Action::Close,
+        }
+    }
+
+    /// Runs a task and records its start and end. Returns `None` if its deadline ended it.
+    async fn run_until_deadline(self, request: ReceivedRequest) -> Option<Action> {
         let index = self.record_start(&request);
-        let action = self.run(&request).await;
+        let run = self.run(&request);
+        let action = match request.time_left {
+            Some(time_left) => tokio::time::timeout(time_left, run).await.ok(),
+            None => Some(run.await),
+        };
         let ended = crate::wall_clock_us();
         self.lock().starts[index].ended_us = Some(ended);
         action
     }
 
-    /// Records the start when the request arrives, before the task waits for a slot, and returns
-    /// its index.
+    /// Records the start, before the task waits for a slot, and returns its index.
     fn record_start(&self, request: &ReceivedRequest) -> usize {
         let started_us = crate::wall_clock_us();
         let mut inner = self.lock();
--- a/crates/heathertrack_testkit/tests/allowance.rs
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -147,3 +147,24 @@
     let starts = cluster.starts().await;
     assert!(max_concurrent(&starts) <= 6, "{} tasks at once", max_concurrent(&starts));
 }
+
+/// Its host closes the connection of such a task at the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_outlasts_its_deadline_is_not_counted_with_later_ones() {
+    let spec = ClusterSpec::default()
+        .data_centres(&["ee-north-1"])
+        .hosts_per_centre(1)
+        .upstream_slowness(&[1.0]);
+    let cluster = Cluster::start(spec.allowance("workshop", 1, 1_000.0)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let host = cluster.hosts[0].caller_address;
+    // The task takes two seconds.
+    let outlasting = r#"{"deadline_ms": 500, "tasks": [{"path": "/a", "body": {"us": 2000000}}]}"#;
+
+    let late = caller.submit(&host, None, outlasting).await;
+    let next = caller.submit(&host, None, &cluster.job(1, 10)).await;
+
+    assert_eq!((late.status, next.status), (504, 200), "{late:?}, {next:?}");
+    let starts = cluster.starts().await;
+    assert_eq!((starts.len(), max_concurrent(&starts)), (2, 1), "{starts:?}");
+}
