Hold the permit of a lost task a little beyond its deadline

Customers could have one task more at once than their allowance: a task that has no answer at its deadline gives its permit back at that moment, but its upstream counts the time left from the arrival of the task, so the task runs on for as long as it was on its way, beside the next one.

Change: such a task, and one whose connection was lost, counts for 250 ms beyond its deadline, which loans (they end 500 ms after the deadline of the tasks that they are for) and the quiet time of inherited seats cover.

Test: allowance::a_task_that_reaches_its_upstream_late_keeps_its_permit_until_it_has_ended, red before (2 at once of 1 allowed, the upstream suspended for the first 100 ms; the second task began 403 ms after the first).

--- a/crates/heathertrack_testkit/tests/allowance.rs
+++ b/crates/heathertrack_testkit/tests/allowance.rs
@@ -168,3 +168,31 @@
     let starts = cluster.starts().await;
     assert_eq!((starts.len(), max_concurrent(&starts)), (2, 1), "{starts:?}");
 }
+
+/// An upstream counts the time that a task has left from its arrival.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_that_reaches_its_upstream_late_keeps_its_permit_until_it_has_ended() {
+    let spec = ClusterSpec::default()
+        .data_centres(&["ee-north-1"])
+        .hosts_per_centre(1)
+        .upstream_slowness(&[1.0]);
+    let cluster = Cluster::start(spec.allowance("workshop", 1, 1_000.0)).await;
+    let caller = cluster.caller("kadriorg-crafts");
+    let host = cluster.hosts[0].caller_address;
+    // The task takes two seconds.
+    let outlasting = r#"{"deadline_ms": 500, "tasks": [{"path": "/a", "body": {"us": 2000000}}]}"#;
+    let job = cluster.job(1, 10);
+
+    cluster.upstreams[0].process.suspend();
+    let late = caller.submit(&host, None, outlasting);
+    let next = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cluster.upstreams[0].process.resume();
+        caller.submit(&host, None, &job).await
+    };
+    let (late, next) = tokio::join!(late, next);
+
+    assert_eq!((late.status, next.status), (504, 200), "{late:?}, {next:?}");
+    let starts = cluster.starts().await;
+    assert_eq!((starts.len(), max_concurrent(&starts)), (2, 1), "{starts:?}");
+}
--- a/crates/heathertrackd/src/gate/lending.rs
+++ b/crates/heathertrackd/src/gate/lending.rs
@@ -111,7 +111,8 @@
 }
 
 /// Returns the longest term that is granted to a loan: the longest deadline of any plan, plus twice
-/// the margin that a borrower adds. Inherited seats stay unused for longer than this.
+/// the margin that a borrower adds, which covers the time for which a task may outlast its deadline.
+/// Inherited seats stay unused for longer than this.
 pub fn longest_term(state: &State) -> Duration {
     state.lists.longest_deadline() + 2 * TERM_MARGIN
 }
--- a/crates/heathertrackd/src/job/task.rs
+++ b/crates/heathertrackd/src/job/task.rs
@@ -14,6 +14,7 @@
 use heathertrack_wire::caller;
 use heathertrack_wire::frame::TaskEnd;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +22,9 @@
 /// get the due time of its tasks. A customer's queued tasks get permits in order of due time, so a
 /// later job of shorter tasks may overtake, but no job that arrives after the due time.
 const DUE_FACTOR: u32 = 8;
+/// Longest time that a task is assumed to be on its way. Its upstream counts the time left from its
+/// arrival, so it may run for that much longer than its deadline.
+const TRANSIT_MARGIN: Duration = Duration::from_millis(250);
 
 /// State shared by the tasks of one job.
 #[derive(Clone)]
@@ -75,8 +79,9 @@
     shared: Shared,
 ) {
     let Shared { handover, cancel_tasks, ends } = shared;
+    let latest_end = task.deadline + TRANSIT_MARGIN;
     let permit = tokio::select! {
-        permit = state.gate.acquire(&task.customer, due, task.deadline) => permit,
+        permit = state.gate.acquire(&task.customer, due, latest_end) => permit,
         () = cancel_tasks.cancelled() => return,
     };
     if !lock(&handover).try_hand_over() {
@@ -90,13 +95,13 @@
     let lost = matches!(end, TaskEnd::Lost(_));
     let _ = ends.send(Ended { index, end }).await;
     if lost {
-        // The task may still be running, so it counts as in flight until its deadline.
-        tokio::spawn(release_permit_at(state, permit, task.deadline));
+        // The task may still be running, so it counts as in flight.
+        tokio::spawn(release_permit_at(state, permit, latest_end));
     }
 }
 
-/// Releases a permit at a deadline.
-async fn release_permit_at(state: Arc<State>, permit: Permit, deadline: Time) {
-    state.timer.until(state.clock.instant(deadline)).await;
+/// Releases a permit at the time by which its task has ended.
+async fn release_permit_at(state: Arc<State>, permit: Permit, end: Time) {
+    state.timer.until(state.clock.instant(end)).await;
     drop(permit);
 }
