--- a/crates/heathertrackd/src/lib.rs
+++ b/crates/heathertrackd/src/lib.rs
@@ -26,6 +26,7 @@
 mod home;
 mod hosts;
 mod job;
+mod linger;
 mod lists;
 pub mod log;
 mod metrics;
@@ -41,6 +42,7 @@
 mod status;
 mod tick;
 mod timer;
+mod unread_body;
 
 pub use node::{Addresses, BindError, Node};
 pub use settings::{BaselinePolicy, Limits, Listen, Platform, Policy, Settings};
