Guard the reports and the evidence of losses

A crash has to be reported as doubtful, or a host of the release before answers the job as failed; evidence tells own losses from reported ones, and a lost run when it was last listed.

--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -7,7 +7,8 @@
 use heathertrack::pool::job::{Outcome, Request};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Decision, Effect, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer, UpstreamKey,
+    Decision, Effect, Evidence, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer,
+    UpstreamKey,
 };
 use std::collections::BTreeSet;
 
@@ -385,7 +386,7 @@
     }
     ended.extend(outcomes(&pool.take_effects()));
 
-    assert!(!ended.contains(&Outcome::Failed), "{ended:?}");
+    assert_eq!(ended, []);
 }
 
 /// Loses the upstreams of `lost` at one instant, while the other runs that were started go on.
@@ -581,6 +582,67 @@
     assert_eq!(ages, [ROUND_MS.into(), 0]);
 }
 
+#[test]
+fn a_lost_run_is_logged_with_the_time_since_it_was_last_listed() {
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(100));
+    let started = starts(&pool.take_effects());
+    begin(&mut pool, &started, 101);
+    let (upstream, _, task, number) = started[0].clone();
+    let row = RunningRun { task, number, percent: 10 };
+    pool.on_poll_answer(upstream, &listing(vec![row], vec![]), at(300), at(300));
+
+    lose(&mut pool, &started, PollFailure::Refused, 400);
+
+    let ages: Vec<u128> = pool.take_effects().iter().flat_map(lost_runs).collect();
+    assert_eq!(ages, [820]);
+}
+
+/// Hosts of the release before would answer the job as failed for crashes that are not doubtful.
+#[test]
+fn a_crash_is_reported_as_doubtful() {
+    let mut pool = pool(&["u1", "u2", "u3", "u4"]);
+    pool.submit(patient_job("deadly"), at(100));
+    let mut reported = Vec::new();
+    let mut started = starts(&pool.take_effects());
+    for round in 0..2 {
+        let ms = 110 + round * ROUND_MS;
+        begin(&mut pool, &started, ms - 1);
+        lose(&mut pool, &started, PollFailure::Refused, ms);
+        let effects = pool.take_effects();
+        reported.extend(reports(&effects));
+        started = starts(&effects);
+    }
+
+    reported.extend(pool.remembered_losses(at(2_000)));
+
+    let rows: Vec<_> = reported.iter().map(|loss| (loss.cause, loss.is_doubtful)).collect();
+    assert!(rows.len() >= 3, "{rows:?}");
+    assert!(rows.iter().all(|row| *row == (LossCause::Refused, true)), "{rows:?}");
+}
+
+#[test]
+fn evidence_names_the_losses_that_another_dispatcher_reported() {
+    let mut pool = pool(&["u1"]);
+    let mut next = super::pool(&["u2"]);
+    pool.submit(patient_job("deadly"), at(100));
+    let started = starts(&pool.take_effects());
+    begin(&mut pool, &started, 101);
+    lose(&mut pool, &started, PollFailure::Refused, 110);
+    for loss in reports(&pool.take_effects()) {
+        next.on_loss_report(&loss, at(900));
+    }
+    next.submit(patient_job("deadly"), at(1_000));
+    let again = starts(&next.take_effects());
+    begin(&mut next, &again, 1_001);
+
+    lose(&mut next, &again, PollFailure::Refused, 1_010);
+
+    let rows: Vec<_> = next.take_effects().iter().flat_map(evidence_rows).collect();
+    let row = |name: &str, is_reported| (name.to_owned(), "crash", is_reported);
+    assert_eq!(rows, [row("u1", true), row("u2", false)]);
+}
+
 #[test]
 fn a_loss_that_is_taken_back_is_logged_with_its_tasks() {
     let mut pool = pool(&["u1", "u2"]);
@@ -615,3 +677,15 @@
         _ => Vec::new(),
     }
 }
+
+/// Returns the losses that a verdict rests on: the upstream, what the loss says, and whether another
+/// dispatcher reported it.
+fn evidence_rows(effect: &Effect) -> Vec<(String, &'static str, bool)> {
+    match effect {
+        Effect::Log(Decision::TaskQuarantined { evidence, .. }) => {
+            let row = |loss: &Evidence| (loss.upstream.to_string(), loss.blame, loss.is_reported);
+            evidence.iter().map(row).collect()
+        }
+        _ => Vec::new(),
+    }
+}
