Explain a job by the event that answered it last

A job that was given up because upstreams were lost under it, and was completed when it was submitted again, was explained as given up: explain looked for any such line before the others. It now takes that cause only if the last answer is the one that gave the job up.

--- a/crates/heathertrack_cli/src/explain.rs
+++ b/crates/heathertrack_cli/src/explain.rs
@@ -50,6 +50,10 @@
     format!("+{elapsed_ms:>6} ms  {:<16} {:<18} {}", text("host"), text("event"), fields.join(" "))
 }
 
+/// Events that answer a job.
+const ENDINGS: [&str; 6] =
+    ["job_completed", "job_late", "job_failed", "job_not_run", "job_unfinished", "job_cancelled"];
+
 /// Returns a sentence with the cause of the outcome, derived from the event that ended the request.
 fn find_cause(lines: &[Value]) -> String {
     let last = |event: &str| lines.iter().rev().find(|line| line["event"] == event);
@@ -71,7 +75,11 @@
             None => format!("refused: {}", text(line, "why")),
         };
     }
-    if let (Some(line), Some(quarantined)) = (last("job_unfinished"), last("task_quarantined")) {
+    let is_ending =
+        |line: &&Value| line["event"].as_str().is_some_and(|event| ENDINGS.contains(&event));
+    let ending = lines.iter().rev().find(is_ending);
+    let given_up = ending.filter(|line| line["event"] == "job_unfinished");
+    if let (Some(line), Some(quarantined)) = (given_up, last("task_quarantined")) {
         return format!(
             "given up after {} ms: {} upstreams were lost under task {}, {} of them as by a crash, \
              and it is not started again",
