Bar deadly tasks longer after each further crash

Cause: losses were forgotten a minute after the last one, whatever they had shown, so the job was tried as if it were new.

Change: losses of a task with too many of them are kept for sixteen minutes. When its first minute is over the task is a suspect and is tried alone; one more loss bars it again, for twice as long each time, and after five crashes until they are forgotten. Other hosts get reports of the last minute only, as before: they count from the report on, and older ones would keep each other alive.

--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! Addresses the load pattern "a task crashes each upstream that starts it": such a task is not
 //! started again for a minute once two upstreams seem to have crashed under it, also if its job is
-//! submitted again.
+//! submitted again. After that it is tried alone, and each further crash doubles the time to the next
+//! trial, until so many upstreams have crashed that there is none.
 //!
 //! No loss proves that a task can't be done: a network path that resets connections looks like a crash,
 //! and a run may have ended unheard just before its upstream crashed. So such a job is given up, and
@@ -27,9 +28,13 @@
 /// Number of upstreams that may be lost under a task, whether or not it is blamed: the users let a
 /// task be started twice more after three upstreams have crashed under it.
 const MAX_TOTAL_LOSSES: usize = 5;
-/// Time for which the losses of a task are remembered. Callers send a job again after seconds, and
+/// Time for which the losses of a task are remembered that may be started, and for which a task isn't
+/// started after it was first found to lose too many. Most callers send a job again after seconds, and
 /// not after their deadline.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Time for which the losses of a task are remembered once there were too many. Longer than the pauses
+/// between the submissions of a caller that never gives up.
+const LONG_RETENTION: Duration = Duration::from_secs(16 * 60);
 /// Time for which further crashes are attributed to tasks after one was found to crash upstreams.
 const CONVICTION_SPAN: Duration = Duration::from_secs(10);
 /// Maximum number of tasks with losses; above it, those with the oldest loss are forgotten.
@@ -109,6 +114,8 @@
     /// The loss of each process. A process counts once, however often it is reported.
     losses: BTreeMap<Process, Record>,
     last_loss: Time,
+    /// How often it was found to have too many losses.
+    bans: u32,
 }
 
 impl Entry {
@@ -121,18 +128,34 @@
         self.losses.len() - self.count(Blame::Unknown) >= MAX_COMMON_LOSSES
     }
 
-    fn verdict(&self, now: Time) -> Verdict {
+    fn has_too_many(&self) -> bool {
         let (crashes, blamed) = (self.count(Blame::Crash), self.count(Blame::Unknown));
-        let is_in_step = self.is_in_step();
-        if now.since(self.last_loss) > RETENTION {
-            Verdict::Clear
-        } else if crashes >= MAX_CRASHES
+        crashes >= MAX_CRASHES
             || blamed >= MAX_LOSSES
-            || (is_in_step && blamed > 0)
+            || (self.is_in_step() && blamed > 0)
             || self.losses.len() >= MAX_TOTAL_LOSSES
-        {
+    }
+
+    /// Returns how long after the last loss a task with too many of them isn't started.
+    fn ban(&self) -> Duration {
+        if self.count(Blame::Crash) >= MAX_TOTAL_LOSSES {
+            return LONG_RETENTION;
+        }
+        let doublings = self.bans.saturating_sub(1).min(u32::BITS - 1);
+        RETENTION.saturating_mul(1 << doublings).min(LONG_RETENTION)
+    }
+
+    fn is_remembered(&self, now: Time) -> bool {
+        let retention = if self.bans > 0 { LONG_RETENTION } else { RETENTION };
+        now.since(self.last_loss) <= retention
+    }
+
+    fn verdict(&self, now: Time) -> Verdict {
+        if !self.is_remembered(now) {
+            Verdict::Clear
+        } else if self.has_too_many() && now.since(self.last_loss) <= self.ban() {
             Verdict::Lost
-        } else if crashes > 0 || is_in_step {
+        } else if self.has_too_many() || self.count(Blame::Crash) > 0 || self.is_in_step() {
             Verdict::Suspect
         } else {
             Verdict::Clear
@@ -158,18 +181,23 @@
 
     fn insert(&mut self, process: &Process, tasks: &[Task], record: Record, now: Time) {
         let blame = record.blame;
-        self.entries.retain(|_, entry| now.since(entry.last_loss) <= RETENTION);
+        self.entries.retain(|_, entry| entry.is_remembered(now));
         for task in tasks {
-            let entry = self
-                .entries
-                .entry(task.clone())
-                .or_insert_with(|| Entry { losses: BTreeMap::new(), last_loss: now });
+            let entry = self.entries.entry(task.clone()).or_insert_with(|| Entry {
+                losses: BTreeMap::new(),
+                last_loss: now,
+                bans: 0,
+            });
+            let verdict = entry.verdict(now);
             let before = entry.losses.get(process).map(|record| record.blame);
             let known = entry.losses.entry(process.clone()).or_insert(record);
             known.blame = known.blame.max(blame);
             if before.is_none() {
                 entry.last_loss = now;
             }
+            if verdict < Verdict::Lost && entry.has_too_many() {
+                entry.bans += 1;
+            }
             // Reports of one loss may come again and again.
             if before.is_none_or(|before| before < blame)
                 && entry.count(Blame::Crash) >= MAX_CRASHES
@@ -209,11 +237,12 @@
         tasks
     }
 
-    /// Returns reports of the losses that are remembered.
+    /// Returns reports of the losses of tasks with a recent one. Another dispatcher counts them from
+    /// the report on, so reports of older ones would keep each other alive.
     pub fn losses(&self, now: Time) -> Vec<Loss> {
         let mut losses: BTreeMap<(&Process, Blame), Vec<Task>> = BTreeMap::new();
-        let remembered = |(_, entry): &(&Task, &Entry)| now.since(entry.last_loss) <= RETENTION;
-        for (task, entry) in self.entries.iter().filter(remembered) {
+        let is_recent = |(_, entry): &(&Task, &Entry)| now.since(entry.last_loss) <= RETENTION;
+        for (task, entry) in self.entries.iter().filter(is_recent) {
             for (process, record) in &entry.losses {
                 losses.entry((process, record.blame)).or_default().push(task.clone());
             }
@@ -278,6 +307,6 @@
 
     /// Returns the number of tasks with losses that are still remembered.
     pub fn len(&self, now: Time) -> usize {
-        self.entries.values().filter(|entry| now.since(entry.last_loss) <= RETENTION).count()
+        self.entries.values().filter(|entry| entry.is_remembered(now)).count()
     }
 }
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -366,6 +366,33 @@
     assert!(crashed <= 9, "{crashed} upstreams crashed under three tasks");
 }
 
+/// Submits a deadly job at these instants, in seconds. Returns how many upstreams crashed after each.
+fn crashes_by_submission(seconds: impl IntoIterator<Item = u64>) -> Vec<usize> {
+    let mut pool = pool(&SIXTEEN);
+    let mut crashes_after = |second: u64| {
+        let first_ms = second * 1_000 + 110;
+        let (received, deadline) = (at(first_ms - 10), at(first_ms + 9_000));
+        pool.submit(Request { received, deadline, ..patient_job("deadly") }, received);
+        play_deadly(&mut pool, first_ms).0
+    };
+    seconds.into_iter().map(&mut crashes_after).collect()
+}
+
+#[test]
+fn a_deadly_job_that_is_sent_again_after_a_minute_crashes_one_upstream_more() {
+    let crashes = crashes_by_submission([0, 10, 30, 55, 75, 140]);
+
+    assert_eq!(crashes, [2, 0, 0, 0, 1, 0]);
+}
+
+/// The users let a task be started twice more after three upstreams have crashed under it.
+#[test]
+fn a_deadly_job_that_is_sent_again_and_again_crashes_five_upstreams_at_most() {
+    let crashes = crashes_by_submission((0..90).map(|index| index * 10));
+
+    assert!(crashes.iter().sum::<usize>() <= 5, "{crashes:?}");
+}
+
 #[test]
 fn a_wide_job_whose_other_tasks_go_on_is_not_failed_for_two_common_crashes() {
     let mut pool = pool(&SIXTEEN);
