--- a/crates/heathertrack_model/tests/faults.rs
+++ b/crates/heathertrack_model/tests/faults.rs
@@ -291,3 +291,36 @@
         assert!(verdict.violations.is_empty(), "seed {seed}: {:?}", verdict.violations);
     }
 }
+
+/// Returns whether a host notices that an upstream was gone for a second, `after` the end of a short
+/// outage of the store.
+fn notices_absence_after_outage(after: Duration) -> bool {
+    let (outage, span) = (Duration::from_secs(1), Duration::from_millis(400));
+    // The upstream is removed that long after it begins to drain, and back after the same time.
+    let drains = Duration::from_secs(1);
+    let faults = vec![
+        Fault { at: outage, kind: FaultKind::StoreDown { span } },
+        Fault {
+            at: outage + span + after - drains,
+            kind: FaultKind::Drain { upstream: 0, after: drains },
+        },
+    ];
+    let length = after + Duration::from_secs(4);
+    let verdict = simulate(&Plan { faults, length, ..Plan::small(1) });
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.violations);
+    let is_notice = |line: &String| {
+        line.contains(r#""upstream":"u0""#) && line.contains("record is gone from the store")
+    };
+    verdict.log.iter().any(is_notice)
+}
+
+/// One failed read kept each record that went missing later for 2.5 s, for the rest of a process's life.
+#[test]
+fn outage_of_the_store_long_ago_keeps_no_upstream_that_is_gone() {
+    assert!(notices_absence_after_outage(Duration::from_secs(8)));
+}
+
+#[test]
+fn outage_of_the_store_just_before_keeps_an_upstream_that_comes_back() {
+    assert!(!notices_absence_after_outage(Duration::from_millis(1_000)));
+}
