Don't report a job as absent while runs of a former process last

Callers of a host that was killed and had started again at once got 410, "no such job", for a job whose runs went on for up to 0.7 s.

Cause: a host reports a job as absent (`Holding::Absent`) if it has no runs of it and its upstreams list none. The runs of the process before it are kept alive by their leases, and the new process has not seen a list yet, nor does it know which upstreams it owns. The same holds for a host that was suspended for 0.6 s: it forgets its runs, and no list shows them yet. The lists of other dispatchers don't help, as an upstream that is being taken over has none either.

`cancellations::a_job_is_not_reported_as_absent_just_after_its_dispatcher_was_suspended` and `.._while_the_leases_of_a_former_process_last` failed with Absent instead of Unknown, the latter with an `on_start` that only notes the time.

A run lasts no longer than the lease that the former process renewed, and each search includes that host or counts it as lost, so the answers of other hosts need no such time.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -16,7 +16,7 @@
 use super::roster::Rosters;
 use super::run::{Run, RunState};
 use super::search::Holding;
-use super::upstream::{Ownership, Upstream};
+use super::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
 use super::{
     Decision, Effect, JobKey, Load, LossCause, Options, RunEnd, RunKey, Task, UpstreamKey,
     admission,
@@ -63,6 +63,9 @@
     has_stale_rosters: bool,
     /// Until this instant, a host that was lost may have left runs that no list has shown yet.
     doubt_until: Time,
+    /// Until this instant, leases may keep runs alive that the process on this host started before it
+    /// was replaced or suspended, and that it doesn't know of any more.
+    former_runs_until: Time,
     /// Since when no upstream is assigned to this dispatcher, if none is.
     unassigned_since: Option<Time>,
     /// Whether a competing dispatcher may use the same upstreams.
@@ -87,6 +90,12 @@
         Pool { options, ..Pool::default() }
     }
 
+    /// Handles the start of this process. The one that ran on this host before may have left runs, which
+    /// end with their leases.
+    pub fn on_start(&mut self, now: Time) {
+        self.former_runs_until = now + self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
+    }
+
     /// Removes and returns the pending effects, which the owner of the pool has to carry out.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         self.report_ended_jobs();
@@ -179,8 +188,9 @@
             self.finish(job, Outcome::Cancelled, now);
             self.place(now);
         } else if !has_runs {
-            let is_foreign = self.lists_foreign_runs(id, now);
-            return if is_foreign || !is_remembered { Holding::Unknown } else { Holding::Absent };
+            // Runs of the former process need not be listed yet.
+            let may_run = self.lists_foreign_runs(id, now) || now < self.former_runs_until;
+            return if may_run || !is_remembered { Holding::Unknown } else { Holding::Absent };
         }
         if is_remembered { Holding::Held } else { Holding::Unknown }
     }
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -205,6 +205,7 @@
             self.end_run(run, RunEnd::Expired, now);
         }
         self.give_up_all("this host was suspended", now);
+        self.on_start(now);
         self.handovers.clear();
         self.rosters.clear();
         for upstream in self.upstreams.values_mut() {
--- a/crates/heathertrack/src/pool/search.rs
+++ b/crates/heathertrack/src/pool/search.rs
@@ -13,8 +13,8 @@
     Held,
     /// It doesn't hold the job, and will not start any of its tasks.
     Absent,
-    /// It can't say: an upstream lists runs of the job that another dispatcher started, or the host
-    /// can't remember that the job was cancelled.
+    /// It can't say: an upstream lists runs of the job that another dispatcher started, or the host has
+    /// just started, or it can't remember that the job was cancelled.
     Unknown,
 }
 
--- a/crates/heathertrack/tests/cancellations.rs
+++ b/crates/heathertrack/tests/cancellations.rs
@@ -150,6 +150,31 @@
     assert_eq!(pool.cancel_by_id(&Id::new("theirs"), at(210)), Holding::Absent);
 }
 
+#[test]
+fn a_job_is_not_reported_as_absent_while_the_leases_of_a_former_process_last() {
+    let (mut pool, _) = pool();
+    let id = Id::new("theirs");
+
+    pool.on_start(at(100));
+
+    assert_eq!(pool.cancel_by_id(&id, at(110)), Holding::Unknown);
+    assert_eq!(pool.cancel_by_id(&id, at(900)), Holding::Absent);
+}
+
+#[test]
+fn a_job_is_not_reported_as_absent_just_after_its_dispatcher_was_suspended() {
+    let (mut pool, _) = pool();
+    let id = Id::new("j");
+    pool.submit(job("j", 1), at(100));
+    let started = starts(&pool.take_effects());
+    pool.on_start_answer(started[0], StartAnswer::Running, Some(5_001), at(101));
+
+    pool.on_resume(at(750));
+
+    assert_eq!(pool.cancel_by_id(&id, at(760)), Holding::Unknown);
+    assert_eq!(pool.cancel_by_id(&id, at(1_500)), Holding::Absent);
+}
+
 /// Hosts have promised that the remembered jobs don't run.
 #[test]
 fn cancelled_jobs_are_remembered_in_bounded_number_and_not_forgotten_early() {
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -117,6 +117,8 @@
             settings,
         });
         entry.event_log.started(&entry.settings);
+        let started = entry.environment.clock().now();
+        entry.state.borrow_mut().pool.on_start(started);
         callers::spawn(&entry, callers);
         ready::spawn(&entry, ready);
         link::spawn(&entry, peers);
