Don't report a job as absent where a host may be unknown

A caller got 410, "no such job", for a job that ran at another host, to its end. The host that answered had been turned away by the store for longer than its record lasts there (10 s), while the store served the others.

Cause: a search counts all hosts that may hold a job, from the records that this host has read and from its links. A host that starts opens links to those whose records it finds. Once this host's record has expired, and it can't read that of the new host, neither knows of the other, and the search is decided without it. `directory_read` only says that the records were read once.

A host now calls a job absent only while its record is certainly in the store: for `RECORD_TTL` after the last registration or renewal was sent. Each host that starts meanwhile finds the record and opens a link if it needs one. A job that was found is answered as before, and so is any other one during the first 10 s of an outage of the store; later the answer is 503, until the record is there again.

--- a/crates/heathertrackd/src/entry/cancel.rs
+++ b/crates/heathertrackd/src/entry/cancel.rs
@@ -41,7 +41,8 @@
     Decided(Verdict),
     /// These hosts may hold the job and gave no clear answer in time.
     Undecided(Vec<Host>),
-    /// The search was not begun: too many are in progress, or the other hosts are not known yet.
+    /// The search was not begun: too many are in progress, or the other hosts are not known for
+    /// certain.
     Refused(&'static str),
 }
 
@@ -137,8 +138,8 @@
             if Instant::now() >= deadline {
                 let now = self.now();
                 let state = self.state.borrow();
-                if state.directory_read.is_none() {
-                    return Cancelling::Refused("the other hosts are not known yet");
+                if !self.knows_other_hosts(&state, now) {
+                    return Cancelling::Refused("the other hosts are not known for certain");
                 }
                 let may_hold = state.may_hold_jobs(&self.record, &self.seeds.borrow(), now);
                 let search = state.searches.get(&search.number);
@@ -179,10 +180,16 @@
         let state = self.state.borrow();
         let may_hold = state.may_hold_jobs(&self.record, &self.seeds.borrow(), now);
         let verdict = state.searches.get(&number)?.verdict(&may_hold)?;
-        let is_proved = verdict == Verdict::Cancelled || state.directory_read.is_some();
+        let is_proved = verdict == Verdict::Cancelled || self.knows_other_hosts(&state, now);
         is_proved.then_some(verdict)
     }
 
+    /// Returns whether this host knows all others that may hold jobs. One that started after the record
+    /// of this host had expired, while the store turned this host away, may have no link to it.
+    fn knows_other_hosts(&self, state: &State, now: Time) -> bool {
+        state.directory_read.is_some() && now < self.record_expiry.get()
+    }
+
     /// Cancels a job for a peer.
     pub(super) fn handle_cancel_job(self: &Rc<Self>, host: &Host, search: u64, id: &str) {
         let holding = cancelled_id(id).map_or(Holding::Unknown, |id| self.cancel_own(&id));
--- a/crates/heathertrackd/src/entry/follow.rs
+++ b/crates/heathertrackd/src/entry/follow.rs
@@ -299,11 +299,13 @@
     let store = entry.environment.metadata_store().clone();
     let mut registration: Option<Registration> = None;
     loop {
+        let asked = entry.now();
         let pause = match registration {
             None => match store.register(&entry.record, RECORD_TTL).await {
                 Ok(registered) => {
                     registration = Some(registered);
                     entry.lease.set(Some(registered.lease));
+                    entry.record_expiry.set(asked + RECORD_TTL);
                     RENEWAL_PERIOD
                 }
                 Err(error) => {
@@ -314,13 +316,18 @@
             Some(registered) if entry.state.borrow().own_record_revision > registered.revision => {
                 entry.event_log.host_record_failed("renewed", "another writer has changed it");
                 registration = None;
+                entry.record_expiry.set(Time::ZERO);
                 Duration::ZERO
             }
             Some(registered) => match store.renew_lease(registered.lease).await {
-                Ok(true) => RENEWAL_PERIOD,
+                Ok(true) => {
+                    entry.record_expiry.set(asked + RECORD_TTL);
+                    RENEWAL_PERIOD
+                }
                 Ok(false) => {
                     entry.event_log.host_record_failed("renewed", "its lease has expired");
                     registration = None;
+                    entry.record_expiry.set(Time::ZERO);
                     Duration::ZERO
                 }
                 Err(error) => {
--- a/crates/heathertrackd/src/entry/node.rs
+++ b/crates/heathertrackd/src/entry/node.rs
@@ -67,6 +67,9 @@
     pub(super) search_answered: Notify,
     /// Lease of the record of this host in the store.
     pub(super) lease: Cell<Option<LeaseId>>,
+    /// Time until which that record is in the store, so that each host that starts learns of this one
+    /// and opens a link to it if it needs one.
+    pub(super) record_expiry: Cell<Time>,
 }
 
 /// Errors at the start of an entry host.
@@ -114,6 +117,7 @@
             configuration_arrived: Notify::new(),
             search_answered: Notify::new(),
             lease: Cell::new(None),
+            record_expiry: Cell::new(Time::ZERO),
             settings,
         });
         entry.event_log.started(&entry.settings);
