Don't run jobs that are read from a link after its end

A job that was handed to another host could run there although nobody waited for it: its caller got 504, "its dispatcher is gone", and sent it again, or got 200, `cancelled`, as its entry host takes the end of a link for the end of the jobs on it.

Cause: when a link is replaced by another one to the same host, both ends give up the jobs that were handed over on it. The task that reads the replaced link goes on until it is woken, and reads what has arrived first. A job among that was put into the pool and counted among those of the new link, which did not end.

A job counts only if its link is still the current one to its host, as it is for rosters. Cancellings are still taken from such a link, as they start nothing.

--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -184,7 +184,9 @@
             // Only the first message of a link identifies the peer.
             Frame::Hello(_) => {}
             Frame::Heartbeat(heartbeat) => entry.handle_heartbeat(host, &heartbeat),
-            Frame::Submit(submit) => entry.handle_submit(host, submit, transit_time),
+            Frame::Submit(submit) => {
+                entry.handle_submit(host, link_number, submit, transit_time);
+            }
             Frame::Cancel { call } => entry.handle_cancel(host, call),
             Frame::Ended { call, how } => {
                 let job = entry.state.borrow_mut().remote_jobs.remove(&call);
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -116,15 +116,20 @@
         peer.is_some_and(|peer| peer.incarnation == hello.incarnation)
     }
 
+    /// Returns whether the link with this number is still the one to a host.
+    fn is_current_link(&self, host: &Host, link: u64) -> bool {
+        self.state.borrow().peers.get(host).is_some_and(|peer| peer.link_number == link)
+    }
+
     /// Removes the link with this number, unless another link to the host has replaced it. Jobs
     /// that were handed over on it, in either direction, end.
     pub(super) fn remove_peer(self: &Rc<Self>, host: &Host, link: u64, why: &str) {
         let now = self.now();
+        if !self.is_current_link(host, link) {
+            return;
+        }
         let (peer_jobs, remote_jobs, has_dispatched, takes_rosters) = {
             let mut state = self.state.borrow_mut();
-            if state.peers.get(host).map(|peer| peer.link_number) != Some(link) {
-                return;
-            }
             let is_needed = state.peers.get(host).is_some_and(|peer| {
                 let relation =
                     state.link_relation(&self.record, &peer.record, &self.seeds.borrow());
@@ -215,14 +220,20 @@
         }
     }
 
-    /// Submits a peer's job to the pool.
+    /// Submits a peer's job to the pool. One that is read from a link after its end isn't run: the end
+    /// has ended the jobs of that link, and the peer has given this one up.
     pub(super) fn handle_submit(
         self: &Rc<Self>,
         host: &Host,
+        link_number: u64,
         submit: Submit,
         transit_time: Duration,
     ) {
+        // First, as it ends all links if this process was suspended.
         let now = self.now();
+        if !self.is_current_link(host, link_number) {
+            return;
+        }
         let call = submit.call;
         if transit_time > MAX_SUBMIT_TRANSIT_TIME {
             let why = "the message was under way for too long";
@@ -282,8 +293,7 @@
         link_number: u64,
         rosters: Vec<RosterWire>,
     ) {
-        let current = self.state.borrow().peers.get(host).map(|peer| peer.link_number);
-        if current != Some(link_number) {
+        if !self.is_current_link(host, link_number) {
             return;
         }
         self.with_pool(|pool, now| {
