Name the failed runs that a failed task rests on in the log

A job was answered as failed although its task had not failed as often as it may, and the log told only how many ends were counted. `task_failed` now names each of these runs: its upstream, the process there, its number and its age. `run_ended` also tells whether the upstream had answered the run or listed it as running before. No decision changes. The new test needs the new field; it didn't compile before.

--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -16,6 +16,7 @@
 mod cancellations;
 mod durations;
 mod effect;
+mod failed_run;
 mod health;
 pub mod job;
 mod listing;
@@ -36,6 +37,7 @@
 pub mod upstream;
 
 pub use effect::{Decision, Effect};
+pub use failed_run::FailedRun;
 pub use job::JobKey;
 pub use listing::{EndedRun, Listing, RunEnd, RunningRun};
 pub use load::Load;
--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -1,4 +1,4 @@
-use super::{Evidence, JobKey, Load, Loss, LostRun, RunKey, Task, UpstreamKey};
+use super::{Evidence, FailedRun, JobKey, Load, Loss, LostRun, RunKey, Task, UpstreamKey};
 use crate::pool::job::{Id, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -116,8 +116,8 @@
     TaskFailed {
         /// The task.
         task: Task,
-        /// Number of failed runs.
-        failures: u32,
+        /// The failed runs.
+        runs: Vec<FailedRun>,
     },
     /// A task is not started again, as upstreams were lost under it.
     TaskQuarantined {
@@ -138,6 +138,8 @@
         upstream: crate::name::Upstream,
         /// How it ended, as [`super::RunEnd::name`] gives it.
         how: &'static str,
+        /// Whether the upstream had answered or listed it as running.
+        has_begun: bool,
         /// Time since its start was ordered.
         age: Duration,
     },
--- a/crates/heathertrack/src/pool/job.rs
+++ b/crates/heathertrack/src/pool/job.rs
@@ -1,6 +1,6 @@
 //! Jobs and their tasks as a dispatcher tracks them.
 
-use super::{RunKey, Task, UpstreamKey};
+use super::{FailedRun, RunKey, Task, UpstreamKey};
 use crate::clock::Time;
 use std::fmt;
 use std::sync::Arc;
@@ -156,8 +156,8 @@
     pub run: Option<RunKey>,
     /// Whether it is done.
     pub done: bool,
-    /// Number of failed runs.
-    pub failures: u32,
+    /// Failed runs.
+    pub failures: Vec<FailedRun>,
     /// Number of stalled runs.
     pub stalls: u32,
     /// Number of the last run; the next one gets a higher number.
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -5,8 +5,8 @@
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::max_lease_expiry;
 use crate::pool::{
-    Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
-    UpstreamKey,
+    Decision, Effect, FailedRun, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer,
+    Task, UpstreamKey,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -145,7 +145,7 @@
         task_state.last_number += increment;
         // A job whose starts were all refused may be reported as not run.
         let is_unstarted =
-            |task: &TaskState| task.run.is_none() && !task.done && task.failures == 0;
+            |task: &TaskState| task.run.is_none() && !task.done && task.failures.is_empty();
         if job.steps.iter().flatten().all(is_unstarted) && !job.has_ended_run {
             job.has_started = false;
         }
@@ -176,6 +176,7 @@
                 number: run.number,
                 upstream: upstream.record.name.clone(),
                 how: how.name(),
+                has_begun: run.has_begun(),
                 age,
             }));
         }
@@ -194,12 +195,17 @@
                 }
             }
             RunEnd::Failed => {
-                task_state.failures += 1;
+                let upstream = self.upstreams.get(run.upstream);
+                task_state.failures.extend(upstream.map(|upstream| FailedRun {
+                    number: run.number,
+                    upstream: upstream.record.name.clone(),
+                    started_ms: run.process_started_ms,
+                    age,
+                }));
                 task_state.avoid.push(run.upstream);
-                let failures = task_state.failures;
-                if failures >= job.request.max_attempts {
-                    let task = run.task.clone();
-                    self.effects.push(Effect::Log(Decision::TaskFailed { task, failures }));
+                if task_state.failures.len() >= job.request.max_attempts as usize {
+                    let (task, runs) = (run.task.clone(), task_state.failures.clone());
+                    self.effects.push(Effect::Log(Decision::TaskFailed { task, runs }));
                     self.finish(job_key, Outcome::Failed, now);
                 }
             }
--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -13,6 +13,8 @@
 
 #[path = "pool/blame.rs"]
 mod blame;
+#[path = "pool/failures.rs"]
+mod failures;
 #[path = "pool/process.rs"]
 mod process;
 
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -9,7 +9,7 @@
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::Id;
-use heathertrack::pool::{Decision, Evidence, Load, LostRun, StartAnswer, Task};
+use heathertrack::pool::{Decision, Evidence, FailedRun, Load, LostRun, StartAnswer, Task};
 use heathertrack_platform::{CallError, HostSettings, StartOrder};
 use serde_json::{Value, json};
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -352,14 +352,19 @@
                 "job_given_up",
                 json!({ "id": job.as_str(), "why": why, "age_ms": ms(*age) }),
             ),
-            Decision::TaskFailed { task, failures } => self.write(
-                "task_failed",
-                json!({ "id": task.job.as_str(), "task": task.to_string(), "failures": failures }),
-            ),
-            Decision::RunEnded { task, number, upstream, how, age } => self.write(
+            Decision::TaskFailed { task, runs } => {
+                let rows: Vec<Value> = runs.iter().map(failed_run_row).collect();
+                self.write(
+                    "task_failed",
+                    json!({ "id": task.job.as_str(), "task": task.to_string(),
+                        "failures": runs.len(), "runs": rows }),
+                );
+            }
+            Decision::RunEnded { task, number, upstream, how, has_begun, age } => self.write(
                 "run_ended",
                 json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
-                    "upstream": upstream.as_str(), "how": how, "age_ms": ms(*age) }),
+                    "upstream": upstream.as_str(), "how": how, "begun": has_begun,
+                    "age_ms": ms(*age) }),
             ),
             Decision::TaskQuarantined { task, crashes, evidence } => {
                 let rows: Vec<Value> = evidence.iter().map(evidence_row).collect();
@@ -403,6 +408,12 @@
     json!([run.task.to_string(), run.number, run.started_ms, run.seen_age.map(ms)])
 }
 
+/// Returns the row of a run in `task_failed`: its upstream, the process there, its number, and the time
+/// from its order to the list with its end.
+fn failed_run_row(run: &FailedRun) -> Value {
+    json!([run.upstream.as_str(), run.started_ms, run.number, ms(run.age)])
+}
+
 /// Returns the row of a loss in `task_quarantined`: the upstream, its process, what its loss says, the
 /// time since then, and whether another dispatcher reported it.
 fn evidence_row(evidence: &Evidence) -> Value {
