Count a listed failure only for a run that is known to have begun

Callers were told `failed` although no task had failed as often as it may under their submission.

Cause: the runs of a job that is sent again are numbered from 1 again. An upstream lists an end until it is acknowledged, for up to a second and more if its dispatcher was lost. While the new order with the same number is on its way, or has no answer, the end of the earlier submission's run was taken for that of the new run and counted as one of its failures.

Evidence: the fuzzer now checks that a submission which is answered as failed has started enough failed runs of one task itself.

Change: a failure that is listed before the order is answered is kept with the run until the answer comes. An upstream refuses the number of a run that has ended there, so `Running` shows that the end is of this run, and it counts, and is acknowledged at once. After a refusal the task starts again with a higher number. After a lost answer, or if the end is listed only then, it is over and starts again, but the end doesn't count, neither against the task nor against the upstream. Ends of other kinds are handled as before: a task that is done is done, whoever started it.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -1,7 +1,7 @@
 use super::Pool;
 use super::orders::MAX_UNANSWERED_STOPS;
 use crate::clock::Time;
-use crate::pool::run::RunState;
+use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
 use crate::pool::{
     Decision, Effect, EndedRun, Listing, PollFailure, RunEnd, RunKey, Task, UpstreamKey,
@@ -80,7 +80,8 @@
                 .task
                 .as_ref()
                 .and_then(|task| self.runs_by_task.get(&(task.clone(), end.number)));
-            if let Some(run) = run.copied().filter(|run| self.is_run_on(*run, key)) {
+            let run = run.copied().filter(|run| self.is_run_on(*run, key));
+            if let Some(run) = run.filter(|run| !self.awaits_answer(*run, end)) {
                 self.end_run(run, end.how, now);
                 if let Some(upstream) = self.upstreams.get_mut(key) {
                     upstream.unacknowledged_ends.insert(end.sequence, Time::ZERO);
@@ -101,6 +102,17 @@
         upstream.has_ends_to_acknowledge = !ends.is_empty();
     }
 
+    /// Returns whether the answer to the order of a run has to show whether it is the one that failed, and
+    /// notes the end until then. An order of an ended number is refused, so the run has begun otherwise.
+    /// Ends of other kinds are the same for its task, whoever started the run.
+    fn awaits_answer(&mut self, run: RunKey, end: &EndedRun) -> bool {
+        let is_unanswered = |run: &&mut Run| run.state == RunState::Starting;
+        let run = self.runs.get_mut(run).filter(is_unanswered);
+        let Some(run) = run.filter(|_| end.how == RunEnd::Failed) else { return false };
+        run.early_failure = Some(end.sequence);
+        true
+    }
+
     fn is_run_on(&self, run: RunKey, upstream: UpstreamKey) -> bool {
         self.runs.get(run).is_some_and(|run| run.upstream == upstream)
     }
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -41,6 +41,7 @@
                 upstream.on_other_process(now);
                 if !run.has_begun() {
                     run.process_started_ms = None;
+                    run.early_failure = None;
                 }
                 self.log_upstream_state(upstream_key, "another process took an order", now);
             }
@@ -50,6 +51,7 @@
             StartAnswer::Running => {
                 run.seen_at = Some(now);
                 run.shared_until = run.shared_until.min(shared_until);
+                let early_failure = run.early_failure.take();
                 // While the run is being stopped, its absence from a list proves nothing before the
                 // stop is answered.
                 if run.state == RunState::Starting {
@@ -57,6 +59,14 @@
                     run.absence_proves_end_at = Some(now);
                     run.progressed_at = now;
                 }
+                if let Some(sequence) = early_failure {
+                    self.end_run(key, RunEnd::Failed, now);
+                    if let Some(upstream) = self.upstreams.get_mut(upstream_key)
+                        && let Some(listed_at) = upstream.unacknowledged_ends.get_mut(&sequence)
+                    {
+                        *listed_at = Time::ZERO;
+                    }
+                }
                 self.poll_soon(upstream_key, now);
             }
             StartAnswer::NoRoom => {
@@ -91,8 +101,11 @@
                 if run.may_have_restarted {
                     run.unanswered_until = max_lease_expiry(now);
                 }
+                let has_failed = run.early_failure.is_some();
                 self.mark_unresponsive(upstream_key, now);
-                if self.options.stop_unanswered_starts {
+                if has_failed {
+                    self.end_run(key, RunEnd::Failed, now);
+                } else if self.options.stop_unanswered_starts {
                     self.stop(key);
                 } else {
                     self.discard_run(key, 0);
@@ -194,7 +207,7 @@
                     self.finish(job_key, Outcome::Completed, now);
                 }
             }
-            RunEnd::Failed => {
+            RunEnd::Failed if run.has_begun() => {
                 let upstream = self.upstreams.get(run.upstream);
                 task_state.failures.extend(upstream.map(|upstream| FailedRun {
                     number: run.number,
@@ -209,7 +222,8 @@
                     self.finish(job_key, Outcome::Failed, now);
                 }
             }
-            RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {
+            // A failure of an earlier submission's run, for all that is known.
+            RunEnd::Failed | RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {
                 task_state.avoid.push(run.upstream);
             }
         }
@@ -301,12 +315,12 @@
                 }
                 self.learn_duration(run, age);
             }
-            RunEnd::Failed => {
+            RunEnd::Failed if run.has_begun() => {
                 if upstream.health.failed(run.job, now) {
                     self.log_upstream_state(run.upstream, "ejected after failed runs", now);
                 }
             }
-            RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {}
+            RunEnd::Failed | RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {}
         }
     }
 
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -180,6 +180,7 @@
             absence_proves_end_at: None,
             poll_for_end: false,
             seen_at: None,
+            early_failure: None,
             competitor_may_renew: self.has_competitors,
             shared_until: if is_shared { now + max_sharing_time } else { Time::ZERO },
             min_clock_ms,
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -69,6 +69,9 @@
     pub poll_for_end: bool,
     /// When the upstream last reported it as running.
     pub seen_at: Option<Time>,
+    /// Sequence number of the end that lists this run as failed before its order was answered. It may be
+    /// the end of an earlier submission's run with the same number.
+    pub early_failure: Option<u64>,
     /// Whether a competing dispatcher may renew, or may have renewed, the lease of its upstream, so
     /// that it may outlive the lease that this dispatcher renewed.
     pub competitor_may_renew: bool,
--- a/crates/heathertrack/tests/fuzz/pool/model.rs
+++ b/crates/heathertrack/tests/fuzz/pool/model.rs
@@ -77,6 +77,12 @@
     done: BTreeSet<Task>,
     /// Index among its job's submissions of the one for which each run was ordered.
     submission_by_run: BTreeMap<RunKey, usize>,
+    /// Index among its job's submissions of the one whose order started a run, by the index and the
+    /// start of its upstream, its task and its number.
+    starters: BTreeMap<(usize, u64, Task, u32), usize>,
+    /// Number of failed runs of each task that a submission started, by task and index of the
+    /// submission.
+    failures: BTreeMap<(Task, usize), u32>,
     /// Whether renewals are checked.
     checks_renewals: bool,
 }
@@ -153,6 +159,8 @@
             cancelled: BTreeMap::new(),
             done: BTreeSet::new(),
             submission_by_run: BTreeMap::new(),
+            starters: BTreeMap::new(),
+            failures: BTreeMap::new(),
             checks_renewals: true,
         };
         for index in 0..UPSTREAMS {
@@ -319,11 +327,19 @@
         }
     }
 
-    /// Ends the runs that are over on an upstream, and records the tasks that are done.
+    /// Ends the runs that are over on an upstream, and records the tasks that are done or failed.
     fn record_ends(&mut self, index: usize) {
-        for (task, _, end) in self.upstreams[index].advance(self.now) {
-            if end == RunEnd::Done {
-                self.done.insert(task);
+        let started_at = self.upstreams[index].started_at;
+        for (task, run, end) in self.upstreams[index].advance(self.now) {
+            let starter = self.starters.remove(&(index, started_at, task.clone(), run.number));
+            match (end, starter) {
+                (RunEnd::Done, _) => {
+                    self.done.insert(task);
+                }
+                (RunEnd::Failed, Some(submission)) => {
+                    *self.failures.entry((task, submission)).or_default() += 1;
+                }
+                _ => {}
             }
         }
     }
@@ -366,10 +382,32 @@
         if matches!(outcome, Outcome::NotRun { .. }) && submission.has_run {
             return Err(format!("{} was reported as not run, but has run", id.as_str()));
         }
-        submission.outcome = Some(outcome);
+        submission.outcome = Some(outcome.clone());
+        if outcome == Outcome::Failed {
+            self.check_failure(key, id)?;
+        }
         Ok(())
     }
 
+    /// Checks, when a submission is answered as failed, that enough runs of one task have failed that it
+    /// started itself.
+    fn check_failure(&self, key: JobKey, id: &Id) -> Result<(), String> {
+        let mut submissions =
+            self.jobs.values().flat_map(|submissions| submissions.iter().enumerate());
+        let is_answered = |(_, submission): &(usize, &Submission)| submission.key == Some(key);
+        let answered = submissions.find(is_answered).map(|(index, _)| index);
+        let of_submission = |((task, submission), _): &(&(Task, usize), &u32)| {
+            task.job == *id && Some(*submission) == answered
+        };
+        let failures = self.failures.iter().filter(of_submission).map(|(_, count)| *count);
+        match failures.max().unwrap_or_default() {
+            failures if failures < MAX_ATTEMPTS => {
+                Err(format!("{id} was answered as failed after {failures} failed runs"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Returns the index of an upstream.
     fn index(&mut self, key: UpstreamKey) -> usize {
         if let Some(index) = self.index_by_key.get(&key) {
@@ -501,6 +539,8 @@
             self.check_run(index, task, &step)?;
         }
         if is_new {
+            let started_at = self.upstreams[index].started_at;
+            self.starters.insert((index, started_at, task.clone(), number), submission);
             let submission = &mut self.submissions(task)[submission];
             submission.has_run = true;
             if matches!(submission.outcome, Some(Outcome::NotRun { .. })) {
