Check failed jobs of the model against the answering submission alone

`FailedWithoutCause` counted the failed runs of all submissions of a job, and so couldn't see that the end of an earlier submission's run was counted for a later one.

--- a/crates/heathertrack_model/src/verdict.rs
+++ b/crates/heathertrack_model/src/verdict.rs
@@ -61,8 +61,8 @@
     RefusedJobRan { task: Task },
     /// A task was started three times more after its runs were lost with three upstreams.
     StartedAfterLosses { task: Task, losses: usize },
-    /// A job was answered as failed, although none of its tasks had failed as often as it may.
-    /// `failures` is the largest number of its tasks.
+    /// A job was answered as failed, although none of its tasks had failed as often as it may since it
+    /// was submitted for that answer. `failures` is the largest number of its tasks.
     FailedWithoutCause { job: String, failures: usize },
     /// A submission to a host without faults got no answer by its deadline.
     NoAnswer { job: String, waited: Duration },
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -82,8 +82,8 @@
     stats: RefCell<Vec<JobStats>>,
     /// Jobs of which every submission was refused, so that none of their tasks may run.
     refused: RefCell<BTreeSet<Id>>,
-    /// Jobs that were answered as failed.
-    failed: RefCell<BTreeSet<Id>>,
+    /// Jobs that were answered as failed, with the time of the submission that got the answer.
+    failed: RefCell<BTreeMap<Id, Instant>>,
     violations: RefCell<Vec<Violation>>,
     /// Factor by which the rate of callers is currently multiplied.
     caller_factor: Cell<f64>,
@@ -335,8 +335,9 @@
         let mut violations = std::mem::take(&mut *self.violations.borrow_mut());
         violations.extend(self.auditor.take_violations());
         let refused = self.refused.borrow();
+        let failed = self.failed.borrow();
         let mut failures_by_job: BTreeMap<Id, usize> =
-            self.failed.borrow().iter().map(|id| (id.clone(), 0)).collect();
+            failed.keys().map(|id| (id.clone(), 0)).collect();
         for (task, completed) in &mut runs {
             completed.sort_by_key(|run| run.started_at);
             for pair in completed.windows(2) {
@@ -352,7 +353,13 @@
                 (0..completed.len()).filter(|n| completed[*n].is_lost()).collect();
             most_losses = most_losses.max(losses.len());
             if let Some(most) = failures_by_job.get_mut(&task.job) {
-                let failures = completed.iter().filter(|run| run.how == Some(RunEnd::Failed));
+                // Runs of earlier submissions don't count, nor those that were started late.
+                let submitted_at = failed[&task.job];
+                let failures = completed.iter().filter(|run| {
+                    run.how == Some(RunEnd::Failed)
+                        && run.started_at >= submitted_at
+                        && !run.started_late
+                });
                 *most = failures.count().max(*most);
             }
             if let Some(third) = losses.get(2)
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -50,6 +50,7 @@
     let outcome = loop {
         submissions += 1;
         let request = request(&world, &drawn, &id);
+        let submitted_at = Instant::now();
         match world.submit(request, leaves_after).await {
             Answer::Outcome(Outcome::NotRun { retry_after, .. }) => {
                 refusals += 1;
@@ -64,7 +65,7 @@
             }
             Answer::Outcome(outcome) => {
                 if outcome == Outcome::Failed {
-                    world.failed.borrow_mut().insert(id.clone());
+                    world.failed.borrow_mut().insert(id.clone(), submitted_at);
                 }
                 break Some(outcome);
             }
@@ -125,6 +126,9 @@
     sleep(Duration::from_secs(wait.as_secs_f64().ceil().max(1.0) as u64)).await;
     let sent = Instant::now();
     let answer = world.submit(request(world, drawn, id), None).await;
+    if matches!(answer, Answer::Outcome(Outcome::Failed)) {
+        world.failed.borrow_mut().insert(id.clone(), sent);
+    }
     let done = match answer {
         Answer::Outcome(Outcome::Completed) => true,
         Answer::Outcome(Outcome::Failed) => drawn.poison,
