--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -5,8 +5,8 @@
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::max_lease_expiry;
 use crate::pool::{
-    Decision, Effect, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer, Task,
-    UpstreamKey,
+    Decision, Effect, FailedRun, JobKey, Loss, LossCause, LostRun, RunEnd, RunKey, StartAnswer,
+    Task, UpstreamKey,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -41,6 +41,7 @@
                 upstream.on_other_process(now);
                 if !run.has_begun() {
                     run.process_started_ms = None;
+                    run.early_failure = None;
                 }
                 self.log_upstream_state(upstream_key, "another process took an order", now);
             }
@@ -50,6 +51,7 @@
             StartAnswer::Running => {
                 run.seen_at = Some(now);
                 run.shared_until = run.shared_until.min(shared_until);
+                let early_failure = run.early_failure.take();
                 // While the run is being stopped, its absence from a list proves nothing before the
                 // stop is answered.
                 if run.state == RunState::Starting {
@@ -57,6 +59,14 @@
                     run.absence_proves_end_at = Some(now);
                     run.progressed_at = now;
                 }
+                if let Some(sequence) = early_failure {
+                    self.end_run(key, RunEnd::Failed, now);
+                    if let Some(upstream) = self.upstreams.get_mut(upstream_key)
+                        && let Some(listed_at) = upstream.unacknowledged_ends.get_mut(&sequence)
+                    {
+                        *listed_at = Time::ZERO;
+                    }
+                }
                 self.poll_soon(upstream_key, now);
             }
             StartAnswer::NoRoom => {
@@ -91,8 +101,11 @@
                 if run.may_have_restarted {
                     run.unanswered_until = max_lease_expiry(now);
                 }
+                let has_failed = run.early_failure.is_some();
                 self.mark_unresponsive(upstream_key, now);
-                if self.options.stop_unanswered_starts {
+                if has_failed {
+                    self.end_run(key, RunEnd::Failed, now);
+                } else if self.options.stop_unanswered_starts {
                     self.stop(key);
                 } else {
                     self.discard_run(key, 0);
@@ -145,7 +158,7 @@
         task_state.last_number += increment;
         // A job whose starts were all refused may be reported as not run.
         let is_unstarted =
-            |task: &TaskState| task.run.is_none() && !task.done && task.failures == 0;
+            |task: &TaskState| task.run.is_none() && !task.done && task.failures.is_empty();
         if job.steps.iter().flatten().all(is_unstarted) && !job.has_ended_run {
             job.has_started = false;
         }
@@ -176,6 +189,7 @@
                 number: run.number,
                 upstream: upstream.record.name.clone(),
                 how: how.name(),
+                has_begun: run.has_begun(),
                 age,
             }));
         }
@@ -193,17 +207,23 @@
                     self.finish(job_key, Outcome::Completed, now);
                 }
             }
-            RunEnd::Failed => {
-                task_state.failures += 1;
+            RunEnd::Failed if run.has_begun() => {
+                let upstream = self.upstreams.get(run.upstream);
+                task_state.failures.extend(upstream.map(|upstream| FailedRun {
+                    number: run.number,
+                    upstream: upstream.record.name.clone(),
+                    started_ms: run.process_started_ms,
+                    age,
+                }));
                 task_state.avoid.push(run.upstream);
-                let failures = task_state.failures;
-                if failures >= job.request.max_attempts {
-                    let task = run.task.clone();
-                    self.effects.push(Effect::Log(Decision::TaskFailed { task, failures }));
+                if task_state.failures.len() >= job.request.max_attempts as usize {
+                    let (task, runs) = (run.task.clone(), task_state.failures.clone());
+                    self.effects.push(Effect::Log(Decision::TaskFailed { task, runs }));
                     self.finish(job_key, Outcome::Failed, now);
                 }
             }
-            RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {
+            // A failure of an earlier submission's run, for all that is known.
+            RunEnd::Failed | RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {
                 task_state.avoid.push(run.upstream);
             }
         }
@@ -295,12 +315,12 @@
                 }
                 self.learn_duration(run, age);
             }
-            RunEnd::Failed => {
+            RunEnd::Failed if run.has_begun() => {
                 if upstream.health.failed(run.job, now) {
                     self.log_upstream_state(run.upstream, "ejected after failed runs", now);
                 }
             }
-            RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {}
+            RunEnd::Failed | RunEnd::Stopped | RunEnd::Expired | RunEnd::Disappeared => {}
         }
     }
 
