Document the program and the library of one name one after the other

The library heathertrack and the program of heathertrack_cli have one name, so cargo documents both in one folder, at the same time, and each removes the folder first. Both are documented as before, with warnings as errors, in two calls.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -4,4 +4,7 @@
 cd "$(dirname "$0")/.."
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --quiet -- -D warnings
-RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --quiet
+# Apart, as the program of heathertrack_cli and the library heathertrack are documented in one folder, which each
+# of them removes first.
+RUSTDOCFLAGS="-D warnings" cargo doc --workspace --exclude heathertrack_cli --no-deps --quiet
+RUSTDOCFLAGS="-D warnings" cargo doc --package heathertrack_cli --no-deps --quiet
