Forget a failure of a former process when another one lists the run

A task could be started again while its run went on, and a failure be counted for it that it didn't have.

Cause: a failure that is listed before the order is answered is kept with the run. If another process then takes the place of the one that listed it, and lists the run before the answer to its order arrives, the run has begun, so that the answer no longer made the end be forgotten: `Running` ended the run as failed.

Evidence: `an_end_on_the_former_process_does_not_end_a_run_that_the_new_one_lists` failed (the run was no longer followed). Found by reading; not seen in a play or by the fuzzer.

A list of another process now forgets such ends, as it forgets the other ends of the former process.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -54,6 +54,11 @@
         if upstream.record_process(listing.started_ms, sent, now) {
             upstream.acknowledged = 0;
             upstream.unacknowledged_ends.clear();
+            for run in &upstream.runs {
+                if let Some(run) = self.runs.get_mut(*run) {
+                    run.early_failure = None;
+                }
+            }
             self.log_upstream_state(key, "process restarted", now);
         } else {
             upstream.stopped_at = None;
--- a/crates/heathertrack/tests/pool/failures.rs
+++ b/crates/heathertrack/tests/pool/failures.rs
@@ -2,7 +2,7 @@
 
 use super::{Started, at, clock_ms, end, listing, outcome, patient_job, pool, starts};
 use heathertrack::pool::job::Outcome;
-use heathertrack::pool::{Decision, Effect, Pool, RunEnd, StartAnswer};
+use heathertrack::pool::{Decision, Effect, Listing, Pool, RunEnd, RunningRun, StartAnswer};
 
 /// Returns the upstream, the process and the number of each run that a job was failed for.
 fn failed_runs(effects: &[Effect]) -> Vec<(String, Option<u64>, u32)> {
@@ -110,6 +110,23 @@
     assert!(pool.follows(upstream, &task, number));
 }
 
+/// The new process lists the run before the answer to its order arrives.
+#[test]
+fn an_end_on_the_former_process_does_not_end_a_run_that_the_new_one_lists() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("j"), at(5_000));
+    let started = starts(&pool.take_effects()).remove(0);
+    list_failed(&mut pool, &started, 1, 5_004);
+    let (upstream, run, task, number) = started;
+
+    let running = vec![RunningRun { task: task.clone(), number, percent: 1 }];
+    let listed = Listing { started_ms: 4_700, clock_ms: 300, ..listing(running, vec![]) };
+    pool.on_poll_answer(upstream, &listed, at(5_005), at(5_006));
+    pool.on_start_answer(run, StartAnswer::Running, Some(301), at(5_007));
+
+    assert!(pool.follows(upstream, &task, number));
+}
+
 /// A short task fails before the answer to its start arrives on another connection.
 #[test]
 fn an_end_that_is_listed_before_the_answer_counts_once_the_run_is_known_to_have_begun() {
