Stop a run without an answer if its upstream may have restarted

A task could run twice at the same time.

Cause: an order without an answer whose number is listed as failed is over, as the upstream refuses an ended number. A process that has taken the place of the one that listed the end knows nothing of it, and may have carried the order out; the run was ended at once, without a stop, and its task started elsewhere.

Evidence: `a_run_without_an_answer_from_an_upstream_that_may_have_restarted_is_stopped_in_spite_of_an_end` failed: no stop, and a start on another upstream.

--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -101,7 +101,8 @@
                 if run.may_have_restarted {
                     run.unanswered_until = max_lease_expiry(now);
                 }
-                let has_failed = run.early_failure.is_some();
+                // Another process would not refuse the ended number, so it may carry the order out.
+                let has_failed = run.early_failure.is_some() && !run.may_have_restarted;
                 self.mark_unresponsive(upstream_key, now);
                 if has_failed {
                     self.end_run(key, RunEnd::Failed, now);
--- a/crates/heathertrack/tests/pool/failures.rs
+++ b/crates/heathertrack/tests/pool/failures.rs
@@ -1,6 +1,6 @@
 //! Which failed runs count against a task.
 
-use super::{Started, at, clock_ms, end, listing, outcome, patient_job, pool, starts};
+use super::{Started, at, clock_ms, end, listing, outcome, patient_job, pool, starts, stops};
 use heathertrack::pool::job::Outcome;
 use heathertrack::pool::{Decision, Effect, Listing, Pool, RunEnd, RunningRun, StartAnswer};
 
@@ -127,6 +127,22 @@
     assert!(pool.follows(upstream, &task, number));
 }
 
+/// The former process listed the end; the new one, which hasn't answered since, may run the task.
+#[test]
+fn a_run_without_an_answer_from_an_upstream_that_may_have_restarted_is_stopped_in_spite_of_an_end()
+{
+    let mut pool = pool(&["u1", "u2"]);
+    pool.submit(patient_job("j"), at(5_000));
+    let started = starts(&pool.take_effects()).remove(0);
+    list_failed(&mut pool, &started, 1, 5_004);
+    pool.take_effects();
+
+    pool.on_start_answer(started.1, StartAnswer::Unknown, None, at(5_030));
+
+    let effects = pool.take_effects();
+    assert_eq!((stops(&effects), starts(&effects)), (vec![started.1], vec![]));
+}
+
 /// A short task fails before the answer to its start arrives on another connection.
 #[test]
 fn an_end_that_is_listed_before_the_answer_counts_once_the_run_is_known_to_have_begun() {
