--- a/crates/heathertrack/tests/pool.rs
+++ b/crates/heathertrack/tests/pool.rs
@@ -895,6 +895,33 @@
     assert_eq!(next.quarantined_tasks(at(63_000)), 0);
 }
 
+#[test]
+fn a_loss_that_is_reported_again_bars_its_task_no_longer() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+
+    for ms in [2_000, 63_000, 64_000] {
+        losses.iter().for_each(|loss| next.on_loss_report(loss, at(ms)));
+    }
+    let (received, deadline) = (at(65_000), at(95_000));
+    next.submit(Request { received, deadline, ..patient_job("j") }, received);
+
+    assert_eq!(starts(&next.take_effects()).len(), 1);
+}
+
+/// The paths to two single upstreams were cut.
+#[test]
+fn a_task_whose_losses_are_taken_back_is_remembered_no_longer_than_others() {
+    let losses = reports_of_two_crashes();
+    let mut next = pool(&["u3", "u4"]);
+    losses.iter().for_each(|loss| next.on_loss_report(loss, at(2_000)));
+
+    next.on_loss_report(&Loss { cause: LossCause::Left, ..losses[1].clone() }, at(3_000));
+
+    assert_eq!(next.quarantined_tasks(at(61_000)), 1);
+    assert_eq!(next.quarantined_tasks(at(63_000)), 0);
+}
+
 #[test]
 fn a_job_in_progress_ends_when_another_dispatcher_reports_that_it_crashes_upstreams() {
     let losses = reports_of_two_crashes();
