Test which failures eject upstreams, and how long deadly tasks are barred

Three changes by hand went unnoticed: letting failures that don't count eject their upstream, reporting losses of more than a minute ago to other hosts, and doubling the bar after the fifth crash as before, in place of sixteen minutes. The test of a deadly job that is sent again and again now lasts 1,300 s, so that a sixth crash would fall into it; its bound is the same.

--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -1,14 +1,15 @@
 //! Which tasks count as the cause when upstreams are lost under them.
 
 use super::{
-    GIVEN_UP, OWNED, SIXTEEN, Started, at, clock_ms, listing, losses, outcome, patient_job, polls,
-    pool, record, reports, starts,
+    GIVEN_UP, OWNED, SIXTEEN, Started, UPSTREAM_STARTED_MS, at, clock_ms, listing, losses, outcome,
+    patient_job, polls, pool, record, reports, starts,
 };
-use heathertrack::pool::job::{Outcome, Request};
+use heathertrack::name::Upstream;
+use heathertrack::pool::job::{Id, Outcome, Request};
 use heathertrack::pool::upstream::Record;
 use heathertrack::pool::{
-    Decision, Effect, Evidence, Listing, LossCause, PollFailure, Pool, RunningRun, StartAnswer,
-    UpstreamKey,
+    Decision, Effect, Evidence, Listing, Loss, LossCause, PollFailure, Pool, RunningRun,
+    StartAnswer, Task, UpstreamKey,
 };
 use std::collections::BTreeSet;
 
@@ -388,11 +389,37 @@
 /// The users let a task be started twice more after three upstreams have crashed under it.
 #[test]
 fn a_deadly_job_that_is_sent_again_and_again_crashes_five_upstreams_at_most() {
-    let crashes = crashes_by_submission((0..90).map(|index| index * 10));
+    let crashes = crashes_by_submission((0..130).map(|index| index * 10));
 
     assert!(crashes.iter().sum::<usize>() <= 5, "{crashes:?}");
 }
 
+/// Reports to a dispatcher, at one second, that two upstreams have crashed under the task of a job.
+fn report_two_crashes(pool: &mut Pool) {
+    let task = Task { job: Id::new("deadly"), occurrence: 0, step: 0, index: 0 };
+    let loss = |name| Loss {
+        upstream: Upstream::new(name),
+        started_ms: Some(UPSTREAM_STARTED_MS),
+        cause: LossCause::Refused,
+        is_doubtful: true,
+        tasks: vec![task.clone()],
+    };
+    for loss in [loss("v1"), loss("v2")] {
+        pool.on_loss_report(&loss, at(1_000));
+    }
+}
+
+/// Other hosts count a report from its arrival on.
+#[test]
+fn losses_that_are_older_than_a_minute_are_not_reported_again() {
+    let mut pool = pool(&["u1"]);
+    report_two_crashes(&mut pool);
+
+    let reported = [30_000, 62_000].map(|ms| pool.remembered_losses(at(ms)).len());
+
+    assert_eq!(reported, [2, 0]);
+}
+
 #[test]
 fn a_wide_job_whose_other_tasks_go_on_is_not_failed_for_two_common_crashes() {
     let mut pool = pool(&SIXTEEN);
--- a/crates/heathertrack/tests/pool/failures.rs
+++ b/crates/heathertrack/tests/pool/failures.rs
@@ -95,6 +95,25 @@
     assert_eq!(outcome_after_failure(&mut pool, &effects, 140), None);
 }
 
+#[test]
+fn ends_that_do_not_count_eject_no_upstream() {
+    let mut pool = pool(&["u1"]);
+    pool.submit(patient_job("j"), at(100));
+    pool.submit(patient_job("k"), at(100));
+    let started = starts(&pool.take_effects());
+    for (sequence, started) in (1..).zip(&started) {
+        list_failed(&mut pool, started, sequence, 105);
+    }
+
+    for (_, run, ..) in &started {
+        pool.on_start_answer(*run, StartAnswer::Unknown, None, at(130));
+    }
+
+    let is_ejection = |effect: &Effect| matches!(effect, Effect::Log(Decision::Upstream { state, .. }) if state.contains("ejected"));
+    assert_eq!(started.len(), 2);
+    assert!(!pool.take_effects().iter().any(is_ejection));
+}
+
 /// The former process listed the end before the order reached the new one.
 #[test]
 fn an_end_on_the_former_process_does_not_count_for_a_run_on_the_new_one() {
