Bar no task again for a loss that was reported before

A suspect task, tried alone after its first minute, could be barred for another one though nothing more had been lost, and its job be given up.

Cause: a report of a loss that is known already, which a new link brings, counted as one more time of too many losses.

Evidence: `a_loss_that_is_reported_again_after_a_minute_bars_no_task_again` failed: no start.

A loss that says no more than before now changes nothing.

--- a/crates/heathertrack/src/pool/quarantine.rs
+++ b/crates/heathertrack/src/pool/quarantine.rs
@@ -195,13 +195,14 @@
             if before.is_none() {
                 entry.last_loss = now;
             }
+            // Reports of one loss may come again and again.
+            if before.is_some_and(|before| before >= blame) {
+                continue;
+            }
             if verdict < Verdict::Lost && entry.has_too_many() {
                 entry.bans += 1;
             }
-            // Reports of one loss may come again and again.
-            if before.is_none_or(|before| before < blame)
-                && entry.count(Blame::Crash) >= MAX_CRASHES
-            {
+            if entry.count(Blame::Crash) >= MAX_CRASHES {
                 self.last_conviction = Some(now);
             }
         }
--- a/crates/heathertrack/tests/pool/blame.rs
+++ b/crates/heathertrack/tests/pool/blame.rs
@@ -395,7 +395,7 @@
 }
 
 /// Reports to a dispatcher, at one second, that two upstreams have crashed under the task of a job.
-fn report_two_crashes(pool: &mut Pool) {
+fn report_two_crashes(pool: &mut Pool) -> Vec<Loss> {
     let task = Task { job: Id::new("deadly"), occurrence: 0, step: 0, index: 0 };
     let loss = |name| Loss {
         upstream: Upstream::new(name),
@@ -404,9 +404,11 @@
         is_doubtful: true,
         tasks: vec![task.clone()],
     };
-    for loss in [loss("v1"), loss("v2")] {
-        pool.on_loss_report(&loss, at(1_000));
+    let losses = vec![loss("v1"), loss("v2")];
+    for loss in &losses {
+        pool.on_loss_report(loss, at(1_000));
     }
+    losses
 }
 
 /// Other hosts count a report from its arrival on.
@@ -420,6 +422,18 @@
     assert_eq!(reported, [2, 0]);
 }
 
+#[test]
+fn a_loss_that_is_reported_again_after_a_minute_bars_no_task_again() {
+    let mut pool = pool(&["u1"]);
+    let losses = report_two_crashes(&mut pool);
+
+    pool.on_loss_report(&losses[0], at(62_000));
+    let (received, deadline) = (at(62_000), at(71_000));
+    pool.submit(Request { received, deadline, ..patient_job("deadly") }, received);
+
+    assert_eq!(starts(&pool.take_effects()).len(), 1);
+}
+
 #[test]
 fn a_wide_job_whose_other_tasks_go_on_is_not_failed_for_two_common_crashes() {
     let mut pool = pool(&SIXTEEN);
