Add review case 6: an entry that expires ends a run that another host renews

A host that has released a minion takes its run there for over once the entry is gone from the store. The next owner goes on renewing it, so it runs on beside the one that the client's next attempt starts.

--- a/review/stand_in_2/src/cases.rs
+++ b/review/stand_in_2/src/cases.rs
@@ -14,6 +14,30 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
+/// Returns whether two runs of one task of a job were at work at the same time, and records them.
+fn has_runs_at_once(site: &Site, job: &str) -> bool {
+    let spans = site.spans();
+    let runs: Vec<&Span> = spans.iter().filter(|span| span.task.starts_with(job)).collect();
+    let mut is_broken = false;
+    for (index, one) in runs.iter().enumerate() {
+        let is_at_once = |other: &&&Span| {
+            other.task == one.task && one.ended.is_none_or(|ended| ended > other.began)
+        };
+        for other in runs[index + 1..].iter().filter(is_at_once) {
+            is_broken = true;
+            let text = |span: &Span| {
+                let ended = span.ended.map_or(f64::INFINITY, |ended| ended.as_secs_f64());
+                let began = span.began.as_secs_f64();
+                let Span { number, minion, how, .. } = span;
+                format!("run {number} on {minion} from {began:.3} s to {ended:.3} s ({how})")
+            };
+            let (first, second) = (text(one), text(other));
+            site.record.say(format!("broken: {} runs twice: {first}, {second}", one.task));
+        }
+    }
+    is_broken
+}
+
 /// Hosts are stopped and started in turn while minions that don't guard their capacity are busy.
 pub fn limit_at_a_planned_stop(folder: &Path, has_trouble: bool) -> bool {
     const CAPACITY: u64 = 16_000;
@@ -148,28 +172,7 @@
         orders += after.0 - before.0;
         unanswered += after.1 - before.1;
         sleep_ms(8_000);
-        let spans = site.spans();
-        let runs: Vec<_> = spans.iter().filter(|span| span.task.starts_with(&job.id)).collect();
-        for (index, one) in runs.iter().enumerate() {
-            let is_at_once = |other: &&&Span| {
-                other.task == one.task && one.ended.is_none_or(|ended| ended > other.began)
-            };
-            for other in runs[index + 1..].iter().filter(is_at_once) {
-                is_broken = true;
-                site.record.say(format!(
-                    "broken: {} runs twice: run {} on {} from {:.3} s to {:.3} s ({}), run {} on {} from {:.3} s",
-                    one.task,
-                    one.number,
-                    one.minion,
-                    one.began.as_secs_f64(),
-                    one.ended.unwrap_or_default().as_secs_f64(),
-                    one.how,
-                    other.number,
-                    other.minion,
-                    other.began.as_secs_f64()
-                ));
-            }
-        }
+        is_broken |= has_runs_at_once(&site, &job.id);
     }
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
@@ -266,3 +269,122 @@
     site.record.say("result: see above");
     is_broken
 }
+
+/// A minion is partitioned from the store, and its entry expires, while a host that has released it
+/// follows a run there. Clients send jobs again that got no result.
+pub fn entry_lost_after_a_handover(folder: &Path, has_trouble: bool) -> bool {
+    let mut site = Site::start(folder, /* guards: */ true);
+    for index in 0..10 {
+        let zone = if index < 5 { "a" } else { "b" };
+        let labels = vec!["a", "r1"];
+        site.add_minion(Kind { service: SERVICE, zone, cpu: 16_000, labels, guards: true });
+    }
+    // The larger host of the zone dispatches.
+    site.add_host("a", 0.62);
+    site.add_host("a", 0.19);
+    site.add_host("b", 0.25);
+    site.start_hosts();
+    let fronts: Vec<_> = site.hosts.iter().map(|host| (host.name.clone(), host.front)).collect();
+    if has_trouble {
+        site.minions[0].cut_from_store(true);
+    }
+    sleep_ms(2_000);
+    // One task for each minion of the zone.
+    let jobs: Vec<Job> = (0..5).map(|_| Job::new(1, 9_000, 9_000, None)).collect();
+    let clients: Vec<_> = jobs
+        .iter()
+        .map(|job| {
+            let (job, fronts, record) = (job.clone(), fronts.clone(), site.record.clone());
+            sleep_ms(50);
+            thread::spawn(move || {
+                let (host, front) = &fronts[0];
+                let wait = Duration::from_millis(12_000);
+                let reply = job.submit(host, *front, wait, &record);
+                record.say(format!("{} was sent to {host}: {reply:?}", job.id));
+                if !matches!(reply, Reply::Status(200 | 429 | 503, _)) {
+                    thread::sleep(RESEND);
+                    let (host, front) = &fronts[2];
+                    let reply = job.submit(host, *front, wait, &record);
+                    record.say(format!("{} was sent again to {host}: {reply:?}", job.id));
+                }
+            })
+        })
+        .collect();
+    sleep_ms(600);
+    site.hosts[0].signal(Signal::Terminate);
+    sleep_ms(300);
+    let other = Job::one_per_minion(5, 7_000, 5_000);
+    let client = {
+        let ((host, front), record) = (fronts[1].clone(), site.record.clone());
+        thread::spawn(move || other.submit(&host, front, Duration::from_millis(12_000), &record))
+    };
+    sleep_ms(1_800);
+    if has_trouble {
+        site.minions[0].cut_from_store(false);
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let _ = client.join();
+    site.hosts[0].wait_end();
+    site.end_hosts();
+    let broken = jobs.iter().filter(|job| has_runs_at_once(&site, &job.id)).count();
+    site.record.say(format!("result: {broken} of {} jobs ran twice at once", jobs.len()));
+    broken > 0
+}
+
+/// A minion leaves orders to start unanswered and crashes. They are carried out late, by the process
+/// that has started again under its id.
+pub fn late_start_at_the_next_process(folder: &Path, has_trouble: bool) -> bool {
+    let mut site = Site::start(folder, /* guards: */ true);
+    for _ in 0..8 {
+        let labels = vec!["a", "r1"];
+        site.add_minion(Kind { service: SERVICE, zone: "a", cpu: 64_000, labels, guards: true });
+    }
+    site.add_host("a", 0.25);
+    site.add_host("a", 0.25);
+    site.start_hosts();
+    let fronts: Vec<_> = site.hosts.iter().map(|host| (host.name.clone(), host.front)).collect();
+    let (mut clients, mut jobs) = (Vec::new(), Vec::new());
+    let mut delaying = None;
+    for tick in 0..50 {
+        let job = Job::new(8, 6_000, 1_000, None);
+        jobs.push(job.id.clone());
+        let ((host, front), record) = (fronts[tick % 2].clone(), site.record.clone());
+        clients.push(thread::spawn(move || {
+            job.submit(&host, front, Duration::from_millis(15_000), &record)
+        }));
+        sleep_ms(200);
+        if !has_trouble {
+            continue;
+        }
+        match delaying {
+            None if tick >= 5 => {
+                delaying = Some(site.orders());
+                site.minions[0].delay_starts(Some(Duration::from_millis(4_000)));
+            }
+            // The orders of one job are enough.
+            Some(before) if site.orders().1 > before.1 => {
+                site.minions[0].delay_starts(None);
+            }
+            _ => {}
+        }
+        match tick {
+            10 => site.minions[0].crash(),
+            20 => site.minions[0].start_again(),
+            _ => {}
+        }
+    }
+    let before = delaying.unwrap_or_default();
+    let (orders, unanswered) = (site.orders().0 - before.0, site.orders().1 - before.1);
+    for client in clients {
+        let _ = client.join();
+    }
+    site.end_hosts();
+    let broken = jobs.iter().filter(|job| has_runs_at_once(&site, job)).count();
+    site.record.say(format!(
+        "result: {broken} of {} jobs ran twice at once; {unanswered} of {orders} orders were left unanswered",
+        jobs.len()
+    ));
+    broken > 0
+}
--- a/review/stand_in_2/src/http.rs
+++ b/review/stand_in_2/src/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client, one thread for each connection.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,8 @@
 #[derive(Clone, Debug)]
 pub struct Server {
     pub address: SocketAddr,
+    is_down: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -58,14 +61,53 @@
     pub fn start(ip: &str, handle: impl Fn(Request) -> Answer + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a loopback address has a free port");
         let address = listener.local_addr().expect("a bound listener has an address");
-        let handle = Arc::new(handle);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let handle = handle.clone();
-                thread::spawn(move || serve_connection(stream, &*handle));
+        let server = Server { address, is_down: Arc::default(), streams: Arc::default() };
+        let serving = server.clone();
+        thread::spawn(move || serving.accept(listener, Arc::new(handle)));
+        server
+    }
+
+    fn accept(
+        &self,
+        listener: TcpListener,
+        handle: Arc<impl Fn(Request) -> Answer + Send + Sync + 'static>,
+    ) {
+        let mut listener = Some(listener);
+        loop {
+            if self.is_down.load(Ordering::Relaxed) {
+                listener = None;
+                for stream in self.streams.lock().unwrap().drain(..) {
+                    // The peer may have closed it before.
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
             }
-        });
-        Server { address }
+            let accepted = listener.as_ref().and_then(|listener| {
+                listener.set_nonblocking(true).ok()?;
+                listener.accept().ok()
+            });
+            let Some((stream, _)) = accepted else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let Ok(kept) = stream.set_nonblocking(false).and_then(|()| stream.try_clone()) else {
+                continue;
+            };
+            self.streams.lock().unwrap().push(kept);
+            let handle = handle.clone();
+            thread::spawn(move || serve_connection(stream, &*handle));
+        }
+    }
+
+    /// Closes all connections and refuses new ones, as a process that has ended.
+    pub fn stop(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+    }
+
+    /// Accepts connections again at the same address.
+    pub fn resume(&self) {
+        self.is_down.store(false, Ordering::Relaxed);
     }
 }
 
--- a/review/stand_in_2/src/main.rs
+++ b/review/stand_in_2/src/main.rs
@@ -25,6 +25,10 @@
         "limit-at-a-planned-stop" => cases::limit_at_a_planned_stop(&folder, has_trouble),
         "stops-unanswered" => cases::stops_unanswered(&folder, has_trouble),
         "answer-of-another-job" => cases::answer_of_another_job(&folder, has_trouble),
+        "entry-lost-after-a-handover" => cases::entry_lost_after_a_handover(&folder, has_trouble),
+        "late-start-at-the-next-process" => {
+            cases::late_start_at_the_next_process(&folder, has_trouble)
+        }
         other => {
             eprintln!("no case {other}");
             return ExitCode::from(2);
--- a/review/stand_in_2/src/minion.rs
+++ b/review/stand_in_2/src/minion.rs
@@ -64,8 +64,15 @@
     ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     sequence: u64,
+    /// Whether the process has ended.
+    is_down: bool,
     /// Whether requests are lost on their way.
     is_cut_off: bool,
+    /// Whether its entries don't reach the store.
+    is_cut_from_store: bool,
+    entered: Instant,
+    /// Time after which orders to start are carried out, without an answer.
+    start_delay: Option<Duration>,
     /// Time after which orders to stop are carried out, without an answer.
     stop_delay: Option<Duration>,
     spans: Vec<Span>,
@@ -95,7 +102,11 @@
             ends: Vec::new(),
             last_end: 0,
             sequence: 0,
+            is_down: false,
             is_cut_off: false,
+            is_cut_from_store: false,
+            entered: Instant::now(),
+            start_delay: None,
             stop_delay: None,
             spans: Vec::new(),
             orders: 0,
@@ -113,24 +124,37 @@
         minion.enter();
         let ticking = minion.clone();
         thread::spawn(move || {
-            let mut entered = Instant::now();
             loop {
                 thread::sleep(TICK);
                 ticking.tick();
-                if entered.elapsed() >= HEARTBEAT {
-                    entered = Instant::now();
-                    ticking.enter();
-                }
+                ticking.keep_entry();
             }
         });
         minion
     }
 
+    /// Renews the entry in the store. The platform removes it after three heartbeats of silence.
+    fn keep_entry(&self) {
+        let (is_silent, age) = {
+            let state = self.shared.0.lock().unwrap();
+            (state.is_cut_from_store || state.is_down, state.entered.elapsed())
+        };
+        if !is_silent && age >= HEARTBEAT {
+            self.enter();
+        } else if is_silent && age >= HEARTBEAT * 3 && age < HEARTBEAT * 4 {
+            // As if it had never been entered, so that it isn't removed again.
+            self.shared.0.lock().unwrap().entered -= HEARTBEAT;
+            self.store.remove(&format!("servers/{}", self.id));
+            self.record.say(format!("the entry of {} expires", self.id));
+        }
+    }
+
     /// Writes the minion's entry in the store.
     fn enter(&self) {
         let Some(server) = &self.server else { return };
         let mut state = self.shared.0.lock().unwrap();
         state.sequence += 1;
+        state.entered = Instant::now();
         let capacity =
             object([("cpu", state.kind.cpu.into()), ("mem_mb", 32_768.into()), ("gpu", 0.into())]);
         let labels: Vec<Value> = state.kind.labels.iter().map(|label| (*label).into()).collect();
@@ -157,6 +181,52 @@
         self.shared.0.lock().unwrap().stop_delay = delay;
     }
 
+    /// Leaves orders to start unanswered, and carries them out after a delay.
+    pub fn delay_starts(&self, delay: Option<Duration>) {
+        self.shared.0.lock().unwrap().start_delay = delay;
+    }
+
+    /// Partitions the minion from the store, not from the hosts.
+    pub fn cut_from_store(&self, is_cut: bool) {
+        self.shared.0.lock().unwrap().is_cut_from_store = is_cut;
+        let state = if is_cut { "is partitioned from" } else { "reaches" };
+        self.record.say(format!("{} {state} the store", self.id));
+    }
+
+    /// Ends the process: its runs are lost, connections are closed and refused.
+    pub fn crash(&self) {
+        if let Some(server) = &self.server {
+            server.stop();
+        }
+        let mut state = self.shared.0.lock().unwrap();
+        state.is_down = true;
+        let tasks: Vec<String> = state.runs.keys().cloned().collect();
+        for task in tasks {
+            state.end(&task, "crashed", &self.record);
+        }
+        self.record.say(format!("{} crashes", self.id));
+    }
+
+    /// Starts a new process under the same id, which knows nothing of before.
+    pub fn start_again(&self) {
+        {
+            let mut state = self.shared.0.lock().unwrap();
+            state.started = Instant::now();
+            state.born_ms = unix_ms();
+            state.lease_end_ms = 0;
+            state.ended_numbers.clear();
+            state.ends.clear();
+            state.last_end = 0;
+            state.sequence = 0;
+            state.is_down = false;
+        }
+        self.record.say(format!("{} starts again", self.id));
+        if let Some(server) = &self.server {
+            server.resume();
+        }
+        self.enter();
+    }
+
     /// Loses all requests on their way; the minion runs on.
     pub fn cut_off(&self, is_cut_off: bool) {
         self.shared.0.lock().unwrap().is_cut_off = is_cut_off;
@@ -209,7 +279,31 @@
         }
         let body = Value::parse(&request.body);
         match request.path.as_str() {
-            "/api/run-start" => Some(self.start_run(&body)),
+            "/api/run-start" => {
+                let delay = {
+                    let mut state = self.shared.0.lock().unwrap();
+                    state.orders += 1;
+                    state.unanswered += u64::from(state.start_delay.is_some());
+                    state.start_delay
+                };
+                let Some(delay) = delay else { return Some(self.start_run(&body)) };
+                self.record.add(format!(
+                    "{} leaves the order to start {} run {} unanswered",
+                    self.id,
+                    body.get("task").text(),
+                    body.get("run")
+                ));
+                let late = self.clone();
+                thread::spawn(move || {
+                    thread::sleep(delay);
+                    if late.shared.0.lock().unwrap().is_down {
+                        return;
+                    }
+                    let answer = late.start_run(&body);
+                    late.record.add(format!("{} carries it out late: {answer:?}", late.id));
+                });
+                None
+            }
             "/api/run-stop" => {
                 let mut state = self.shared.0.lock().unwrap();
                 state.orders += 1;
@@ -239,7 +333,6 @@
 
     fn start_run(&self, body: &Value) -> (u16, String) {
         let mut state = self.shared.0.lock().unwrap();
-        state.orders += 1;
         let task = body.get("task").text().to_owned();
         let number = body.get("run").whole().unwrap_or(0);
         let until = body.get("until_ms").whole().unwrap_or(0);
--- a/review/stand_in_2/src/store.rs
+++ b/review/stand_in_2/src/store.rs
@@ -54,6 +54,12 @@
         self.0.1.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut data = self.0.0.lock().unwrap();
+        data.write(key, None, 0);
+        self.0.1.notify_all();
+    }
+
     fn remove_expired(&self) {
         let mut data = self.0.0.lock().unwrap();
         let now = Instant::now();
