--- a/review/stand_in_2/src/host.rs
+++ b/review/stand_in_2/src/host.rs
@@ -56,7 +56,7 @@
         record: &Record,
     ) -> Self {
         let Settings { name, ip, zone, cpu_share, store } = settings;
-        let (front, ready, control) = (free_port(ip), free_port(ip), free_port(ip));
+        let [front, ready, control] = free_ports(ip);
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "node_name = \"{name}\"\nrole = \"entry\"\nmachine_class = \"edge\"\n\
@@ -147,8 +147,11 @@
     }
 }
 
-fn free_port(ip: &str) -> SocketAddr {
+/// Returns three different free ports of an address.
+fn free_ports(ip: &str) -> [SocketAddr; 3] {
     let ip: IpAddr = ip.parse().expect("an IP address");
-    let listener = TcpListener::bind((ip, 0)).expect("a loopback address has a free port");
-    listener.local_addr().expect("a bound listener has an address")
+    let listen = |_| TcpListener::bind((ip, 0)).expect("a loopback address has a free port");
+    // All are held until the last one is chosen.
+    let listeners = [0, 1, 2].map(listen);
+    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
 }
