Withhold starts from upstreams with a run that can't be stopped

Cause: a start renews the lease of everything that runs on its upstream. After two unanswered orders to stop a run, polls no longer renewed its lease, so that it would expire; starts of other jobs went on renewing it.

The test fails before the change ("assertion failed: !renews(&beside)"): it orders a stop, leaves it unanswered twice, and lists the run in answers to polls meanwhile.

Change: such a run is left to expiry (Run::expiring_since), and its upstream gets no starts and no renewals until it is over. Polls, starts and rosters ask the same field. The decision has a log line now.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -1,5 +1,4 @@
 use super::Pool;
-use super::orders::MAX_UNANSWERED_STOPS;
 use crate::clock::Time;
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
@@ -383,9 +382,6 @@
     /// Sends a poll, unless the upstream is released and has no runs left.
     fn send_poll(&mut self, key: UpstreamKey, wait: Duration, now: Time) {
         let lease = self.options.lease;
-        let has_max_unanswered_stops = |run: &RunKey| {
-            self.runs.get(*run).is_some_and(|run| run.unanswered_stops >= MAX_UNANSWERED_STOPS)
-        };
         let Some(upstream) = self.upstreams.get(key) else { return };
         let released = upstream.ownership == Ownership::Released && upstream.runs.is_empty();
         if released {
@@ -402,7 +398,7 @@
             && !upstream.foreign.has_strays
             && upstream.failed_polls == 0
             && !upstream.may_have_restarted(now)
-            && !upstream.runs.iter().any(has_max_unanswered_stops);
+            && upstream.expiring_runs == 0;
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let lease_end_ms = if renews_lease { upstream.renew_lease(lease, now) } else { None };
         upstream.polls_in_flight += 1;
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -19,7 +19,7 @@
 const NUMBER_INCREMENT: u32 = 16;
 /// Number of unanswered orders to stop a run after which the lease of its upstream is no longer
 /// renewed, so that the run ends with it.
-pub(super) const MAX_UNANSWERED_STOPS: u32 = 2;
+const MAX_UNANSWERED_STOPS: u32 = 2;
 /// Shortest duration whose logarithm is learned, in seconds: the logarithm of zero is infinite.
 const MIN_LEARNED_S: f64 = 1e-4;
 
@@ -142,13 +142,30 @@
             return;
         }
         run.unanswered_stops += 1;
-        // The owner of a released upstream has to end its renewals, as this dispatcher does.
-        self.has_stale_rosters |= run.unanswered_stops == MAX_UNANSWERED_STOPS;
+        let has_max_unanswered_stops = run.unanswered_stops >= MAX_UNANSWERED_STOPS;
         let (task, number) = (run.task.clone(), run.number);
         self.mark_unresponsive(upstream_key, now);
+        if has_max_unanswered_stops {
+            self.leave_to_expiry(key, "leaves orders to stop a run unanswered", now);
+        }
         self.effects.push(Effect::Stop { upstream: upstream_key, run: key, task, number });
     }
 
+    /// Ends the renewals and the starts on the upstream of a run, by its owner as well, until the run is
+    /// known to be over. `why` describes the upstream.
+    pub(super) fn leave_to_expiry(&mut self, key: RunKey, why: &'static str, now: Time) {
+        let Some(run) = self.runs.get_mut(key).filter(|run| run.expiring_since.is_none()) else {
+            return;
+        };
+        run.expiring_since = Some(now);
+        let upstream_key = run.upstream;
+        if let Some(upstream) = self.upstreams.get_mut(upstream_key) {
+            upstream.expiring_runs += 1;
+        }
+        self.has_stale_rosters = true;
+        self.log_upstream_state(upstream_key, why, now);
+    }
+
     /// Discards a run that never began and never will, so that its task can be started again. Adds
     /// `increment` to the task's run number.
     fn discard_run(&mut self, key: RunKey, increment: u32) {
@@ -172,6 +189,7 @@
         if let Some(upstream) = self.upstreams.get_mut(run.upstream) {
             upstream.runs.retain(|other| *other != key);
             upstream.used = upstream.used.without(&run.needs);
+            upstream.expiring_runs -= usize::from(run.expiring_since.is_some());
         }
         Some(run)
     }
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -187,6 +187,7 @@
             may_have_restarted,
             unanswered_until: Time::ZERO,
             unanswered_stops: 0,
+            expiring_since: None,
             percent: 0,
             progressed_at: now,
         });
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -1,5 +1,4 @@
 use super::Pool;
-use super::orders::MAX_UNANSWERED_STOPS;
 use crate::clock::Time;
 use crate::name;
 use crate::pool::upstream::{Ownership, Record, SLOW_CLOCK_FACTOR, Upstream};
@@ -90,14 +89,14 @@
     }
 
     /// Returns the roster of this dispatcher's runs on an upstream that it doesn't own, for the owner;
-    /// `None` if there are no runs. Runs that have to end by the expiry of their lease are left out.
+    /// `None` if there are no runs. Runs that are left to the expiry of their lease are omitted.
     pub fn roster(&self, name: &name::Upstream) -> Option<Roster> {
         let upstream = self.upstreams.get(*self.upstreams_by_name.get(name)?)?;
         if upstream.ownership != Ownership::Released || upstream.runs.is_empty() {
             return None;
         }
         let runs = upstream.runs.iter().filter_map(|run| self.runs.get(*run));
-        let followed = runs.filter(|run| run.unanswered_stops < MAX_UNANSWERED_STOPS);
+        let followed = runs.filter(|run| run.expiring_since.is_none());
         let runs = followed.map(|run| (run.task.clone(), run.number)).collect();
         Some(Roster { upstream: name.clone(), runs })
     }
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -87,6 +87,8 @@
     pub unanswered_until: Time,
     /// Number of unanswered orders to stop it.
     pub unanswered_stops: u32,
+    /// Since when it is left to the expiry of its lease, if it is: no host may renew it any more.
+    pub expiring_since: Option<Time>,
     /// Share of its work that was done when it was last listed, in percent.
     pub percent: u32,
     /// When `percent` last changed.
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -125,6 +125,9 @@
     pub runs: Vec<RunKey>,
     /// Resources that these runs hold.
     pub used: Needs,
+    /// Number of these runs that are left to the expiry of the lease, so that nothing may renew it
+    /// meanwhile.
+    pub expiring_runs: usize,
     /// Suspect task that is to run here alone, or does so.
     pub isolated_for: Option<Task>,
     pub foreign: ForeignRuns,
@@ -180,6 +183,7 @@
             shrunk_until: None,
             runs: Vec::new(),
             used: Needs::default(),
+            expiring_runs: 0,
             isolated_for: None,
             foreign: ForeignRuns::default(),
             polls_in_flight: 0,
@@ -344,9 +348,10 @@
         }
     }
 
-    /// Returns whether runs may be started here now.
+    /// Returns whether runs may be started here now. A start renews the lease of all runs here.
     pub fn accepts_starts(&self, now: Time) -> bool {
         self.is_usable(now)
+            && self.expiring_runs == 0
             && self.isolated_for.is_none()
             && now >= self.no_starts_until
             && self.health.admits(now, self.runs.len())
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -409,6 +409,35 @@
     assert_eq!(fixture.pool.roster(&Upstream::new("u1")), Some(roster("u1", &[])));
 }
 
+/// Starts of other jobs renewed its lease, which polls no longer did (review case 8).
+#[test]
+fn no_start_keeps_a_run_alive_that_does_not_answer_to_stops() {
+    let mut fixture = running(&["u1"]);
+    let row = fixture.row.clone();
+    let alive = std::slice::from_ref(&row);
+    fixture.pool.cancel_by_id(&Id::new("own"), at(120));
+    fixture.pool.on_stop_answer(fixture.run, !CONFIRMED, None, at(180));
+    answer(&mut fixture, alive, 190);
+    fixture.pool.submit(job("after one stop"), at(191));
+    let once = starts(&fixture.pool.take_effects());
+    fixture.pool.on_start_answer(once[0].1, StartAnswer::Unwell, Some(192), at(192));
+    fixture.pool.cancel_by_id(&Id::new("after one stop"), at(192));
+
+    fixture.pool.on_stop_answer(fixture.run, !CONFIRMED, None, at(240));
+    let mut beside = answer(&mut fixture, alive, 250);
+    fixture.pool.submit(job("after two stops"), at(251));
+    for ms in (300..900).step_by(50) {
+        beside.extend(answer(&mut fixture, alive, ms));
+    }
+    // The last renewal was at 191 ms.
+    fixture.pool.tick(at(910));
+    let expired = fixture.pool.take_effects();
+
+    assert_eq!(once.len(), 1);
+    assert!(!renews(&beside));
+    assert_eq!(starts(&expired).len(), 1);
+}
+
 #[test]
 fn an_older_list_that_arrives_late_bars_no_upstream() {
     let mut fixture = running(&["u1"]);
