Don't take the loss of an upstream's record for the end of its runs

Cause: a host that has released an upstream follows its runs there, and the owner renews their leases, as it has them on a roster. When the upstream's record expired, the follower took each run for over whose lease it had not renewed itself for 0.7 s, and forgot it without a stop. On such an upstream it never renews once the owner has runs there. The owner wasn't told and went on.

Change: the record proves nothing about runs. While the upstream answers, they are followed as before. If it hasn't answered for a lease either, a run that others may renew is left to expiry: it leaves the roster, and counts as over only once the holder of the roster has been told or has lost the link, and its last renewal has expired (350 + 400 + 714 ms).

--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -1,8 +1,9 @@
 use super::Pool;
 use crate::clock::Time;
+use crate::membership::links::{FAST_HEARTBEAT_PERIOD, heartbeat_timeout};
 use crate::pool::job::Job;
 use crate::pool::run::{Run, RunState};
-use crate::pool::upstream::{Ownership, Upstream};
+use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
 use crate::pool::{JobKey, LossCause, RunEnd, RunKey, UpstreamKey};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,6 +29,7 @@
     /// milliseconds while there are jobs or runs, and at least every second.
     pub fn tick(&mut self, now: Time) {
         self.end_overdue_jobs(now);
+        self.abandon_unreachable_runs(now);
         self.end_expired_runs(now);
         self.end_stranded_jobs(now);
         self.poll_for_stopped(now);
@@ -87,13 +89,44 @@
         }
     }
 
+    /// Leaves runs to the expiry of their lease that another dispatcher may renew on upstreams which
+    /// have lost their record and don't answer. An upstream without a record that answers runs on: it
+    /// may be partitioned from the store alone.
+    fn abandon_unreachable_runs(&mut self, now: Time) {
+        let lease = self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
+        let is_unreachable = |(_, run): &(RunKey, &Run)| {
+            let upstream = self.upstreams.get(run.upstream);
+            run.competitor_may_renew
+                && run.expiring_since.is_none()
+                && upstream.is_some_and(|upstream| {
+                    upstream.missing_since.is_some()
+                        && upstream.unresponsive_since.is_some()
+                        && now.since(upstream.last_answer) > lease
+                })
+        };
+        let runs: Vec<RunKey> =
+            self.runs.iter().filter(is_unreachable).map(|(key, _)| key).collect();
+        for run in runs {
+            self.leave_to_expiry(run, "has no record and does not respond", now);
+        }
+    }
+
     /// Ends runs whose lease has expired for certain. Where a competing dispatcher may have renewed
-    /// it, only the upstream's lists or the loss of its record show that a run is over.
+    /// it, only the upstream's lists show that a run is over, or the time for which it has been left to
+    /// its expiry on an upstream without a record.
     fn end_expired_runs(&mut self, now: Time) {
+        // By then the holder of the roster knows of the change, or has lost the link and dropped the
+        // roster.
+        let max_roster_delay = heartbeat_timeout(FAST_HEARTBEAT_PERIOD);
+        let max_renewal_time = max_roster_delay + self.max_sharing_time();
         let is_expired = |(_, run): &(RunKey, &Run)| {
             let Some(upstream) = self.upstreams.get(run.upstream) else { return true };
+            let is_abandoned = || {
+                upstream.missing_since.is_some()
+                    && run.expiring_since.is_some_and(|since| now.since(since) > max_renewal_time)
+            };
             now > upstream.lease_expiry.max(run.shared_until).max(run.unanswered_until)
-                && (!run.competitor_may_renew || upstream.missing_since.is_some())
+                && (!run.competitor_may_renew || is_abandoned())
         };
         let mut expired: BTreeMap<UpstreamKey, Vec<RunKey>> = BTreeMap::new();
         for (key, run) in self.runs.iter().filter(is_expired) {
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -438,6 +438,62 @@
     assert_eq!(starts(&expired).len(), 1);
 }
 
+/// A host took the loss of the record for the end of a run whose lease the next owner renewed (review
+/// case 6).
+#[test]
+fn a_run_of_a_leaving_host_that_is_listed_outlives_the_record_of_its_upstream() {
+    let mut fixture = running(&["u1"]);
+    let row = fixture.row.clone();
+    let both = [row.clone(), foreign_run("next")];
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    fixture.pool.on_record_lost(&Upstream::new("u1"), at(200));
+
+    let mut effects = Vec::new();
+    for ms in (210..3_000).step_by(100) {
+        effects.extend(answer(&mut fixture, &both, ms));
+        fixture.pool.tick(at(ms + 50));
+    }
+    let followed = fixture.pool.roster(&Upstream::new("u1"));
+    let how = RunEnd::Done;
+    let end = EndedRun { sequence: 1, task: Some(row.task.clone()), number: row.number, how };
+    let listing = Listing { ended: vec![end], ..list(&[], 3_000) };
+    fixture.pool.on_poll_answer(fixture.upstream, &listing, at(2_999), at(3_000));
+    let ended = outcomes(&fixture.pool.take_effects());
+
+    assert!(outcomes(&effects).is_empty());
+    assert_eq!(followed, Some(roster("u1", &[row])));
+    assert_eq!(ended, [Outcome::Completed]);
+}
+
+/// The next owner may still reach the upstream, and renew the lease there.
+#[test]
+fn a_run_out_of_reach_without_a_record_is_over_only_after_its_owner_can_have_renewed_it() {
+    let mut fixture = running(&["u1", "u2"]);
+    let name = fixture.pool.upstream_address(fixture.upstream).map(|(name, _)| name);
+    let name = name.expect("the upstream is known");
+    fixture.pool.update_upstream(record(name.as_str()), !OWNED, at(110));
+    for ms in [200, 300, 400] {
+        fixture.pool.on_poll_failed(fixture.upstream, PollFailure::NoAnswer, at(ms));
+    }
+    fixture.pool.on_record_lost(&name, at(500));
+    let followed = fixture.pool.roster(&name);
+
+    // The last answer was at 102 ms.
+    fixture.pool.tick(at(820));
+    let (is_stale, abandoned) = (fixture.pool.take_has_stale_rosters(), fixture.pool.roster(&name));
+    // Until 1,170 ms the owner may renew by the former roster, and until 1,570 ms on an older list.
+    fixture.pool.tick(at(2_280));
+    let early = starts(&fixture.pool.take_effects());
+    fixture.pool.tick(at(2_290));
+    let late = starts(&fixture.pool.take_effects());
+
+    assert_eq!(followed, Some(roster(name.as_str(), std::slice::from_ref(&fixture.row))));
+    assert!(is_stale);
+    assert_eq!(abandoned, Some(roster(name.as_str(), &[])));
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1);
+}
+
 #[test]
 fn an_older_list_that_arrives_late_bars_no_upstream() {
     let mut fixture = running(&["u1"]);
--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -66,6 +66,8 @@
     Slow { upstream: usize, factor: f64, span: Duration },
     /// An upstream drains for `after`, then is removed for `after` and comes back.
     Drain { upstream: usize, after: Duration },
+    /// An upstream is partitioned from the store alone: its record is removed for `span`.
+    LoseRecord { upstream: usize, span: Duration },
     /// The store answers all calls with an error.
     StoreDown { span: Duration },
     /// The rate at which callers arrive is multiplied by `factor`.
@@ -188,6 +190,7 @@
             | FaultKind::Restart { upstream, .. }
             | FaultKind::Replace { upstream, .. }
             | FaultKind::StepClock { upstream, .. }
+            | FaultKind::LoseRecord { upstream, .. }
             | FaultKind::Failing { upstream, .. }
             | FaultKind::Hanging { upstream, .. }
             | FaultKind::Slow { upstream, .. }
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -114,6 +114,12 @@
             world.misbehave(upstream, slow, span).await;
         }
         FaultKind::Drain { upstream, after } => world.drain(upstream, after).await,
+        FaultKind::LoseRecord { upstream, span } => {
+            let record = world.fleet.borrow()[upstream].borrow().record.clone();
+            world.store.remove_upstream(&record.name);
+            sleep(span).await;
+            world.store.put(DecodedItem::Upstream(record));
+        }
         FaultKind::StoreDown { span } => {
             world.store.down.set(true);
             sleep(span).await;
--- a/crates/heathertrack_model/tests/leases.rs
+++ b/crates/heathertrack_model/tests/leases.rs
@@ -3,7 +3,7 @@
 //! and has to find the fault then.
 
 use heathertrack::pool::Options;
-use heathertrack_model::{Class, Fault, FaultKind, Plan, Violation, simulate};
+use heathertrack_model::{Class, Fault, FaultKind, Plan, Site, Violation, simulate};
 use std::time::Duration;
 
 /// Number of seeds that CI runs.
@@ -132,6 +132,59 @@
     });
 }
 
+/// The host that is leaving took its runs there for over, while the next owner renewed their leases
+/// (review case 6).
+#[test]
+fn runs_of_a_leaving_host_on_upstreams_without_a_record_are_not_started_again() {
+    for seed in 0..seeds().max(MECHANISM_SEEDS) {
+        let upstreams = 0..Plan::small(seed).site.upstreams_each;
+        let faults = in_turn(|leaving, _, at| {
+            let lost_at = at + ms(300 + 100 * (seed % 8));
+            let lose = |upstream| FaultKind::LoseRecord { upstream, span: ms(2_500) };
+            let lost =
+                upstreams.clone().map(|upstream| Fault { at: lost_at, kind: lose(upstream) });
+            [Fault { at, kind: FaultKind::Stop { host: leaving } }]
+                .into_iter()
+                .chain(lost)
+                .collect()
+        });
+
+        let mut plan = Plan { faults, ..long_tasks(seed) };
+        // The next owner soon has runs beside those of the leaving host.
+        let long = &mut plan.load.classes[1];
+        *long = Class { work: ms(4_000), cpu: 1_000.0, per_second: 60.0, ..long.clone() };
+
+        let violations = simulate(&plan).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
+
+/// A host that has released upstreams and doesn't reach them any more tells the owner that it gives the
+/// runs there up, also while nobody is assigned the upstreams, for want of records.
+#[test]
+fn runs_that_are_given_up_on_upstreams_without_a_record_are_not_renewed() {
+    for seed in 0..seeds() {
+        // Two hosts dispatch to the 22 upstreams of a data centre. The first one suffices for 21.
+        let site = Site { upstreams_each: 22, cpu_shares: vec![0.09], ..Plan::small(seed).site };
+        let cut = FaultKind::CutUpstreams { host: 1, share: 1.0, back: false, span: ms(6_500) };
+        let lose = |upstream| FaultKind::LoseRecord { upstream, span: ms(6_000) };
+        let faults = (0..site.upstreams_each)
+            // The first loss changes the number of dispatchers, and the others concern released upstreams.
+            .map(|upstream| (if upstream == 0 { 1_500 } else { 2_300 }, lose(upstream)))
+            .chain([(2_200, cut)])
+            .map(|(at, kind)| Fault { at: ms(at), kind })
+            .collect();
+        let mut plan = Plan { site, faults, length: ms(9_000), ..long_tasks(seed) };
+        let long = &mut plan.load.classes[1];
+        *long = Class { work: ms(8_000), per_second: 60.0, ..long.clone() };
+
+        let violations = simulate(&plan).violations;
+
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
+
 #[test]
 fn late_orders_during_planned_stops_cause_no_concurrent_runs() {
     for seed in 0..seeds().max(MECHANISM_SEEDS) {
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -3,7 +3,7 @@
 use super::frame::{Frame, RosterWire};
 use super::metrics;
 use super::node::{EntryHost, Environment};
-use super::state::{Peer, State};
+use super::state::{Peer, RosterHolder, State};
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::{Candidate, Roster, choose_dispatchers, owner, startup_grace};
@@ -61,7 +61,7 @@
         let (handovers, rosters) = {
             let mut state = self.state.borrow_mut();
             if state.pool.take_has_stale_rosters() {
-                state.sent_rosters.clear();
+                state.roster_holders.values_mut().for_each(|holder| holder.link = None);
                 state.owners_stale = true;
             }
             state.remove_missing_upstreams(now);
@@ -106,7 +106,8 @@
                 continue;
             };
             let link = peer.link_number;
-            rosters.retain(|roster| state.sent_rosters.get(&roster.upstream) != Some(&link));
+            let holder = RosterHolder { host: host.clone(), link: Some(link) };
+            rosters.retain(|roster| state.roster_holders.get(&roster.upstream) != Some(&holder));
             if rosters.is_empty() {
                 continue;
             }
@@ -115,7 +116,8 @@
                 self.event_log.link_full(&host);
                 continue;
             }
-            state.sent_rosters.extend(rosters.into_iter().map(|roster| (roster.upstream, link)));
+            let sent = rosters.into_iter().map(|roster| (roster.upstream, holder.clone()));
+            state.roster_holders.extend(sent);
         }
     }
 
@@ -285,7 +287,7 @@
                 {
                     rosters.entry(new_owner.clone()).or_default().push(roster);
                 } else {
-                    self.sent_rosters.remove(&name);
+                    self.roster_holders.remove(&name);
                 }
             }
             for host in centre_dispatchers {
@@ -294,6 +296,16 @@
                 }
             }
         }
+        // An upstream without a record is assigned to nobody, but the host that owned it before may go
+        // on renewing the leases there.
+        self.roster_holders.retain(|name, holder| {
+            if self.upstreams.contains_key(name) {
+                return true;
+            }
+            let Some(roster) = self.pool.roster(name) else { return false };
+            rosters.entry(holder.host.clone()).or_default().push(roster);
+            true
+        });
         Assignment { assigned, owned, dispatchers, handovers, rosters }
     }
 
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -87,13 +87,20 @@
     pub owned_upstreams: usize,
     /// Whether the assignment of upstreams has to be recomputed.
     pub owners_stale: bool,
-    /// Upstreams whose owner has the roster of this host's runs there, with the number of the link on
-    /// which it was sent.
-    pub sent_rosters: BTreeMap<Upstream, u64>,
+    /// Holders of the rosters of this host's runs, by upstream.
+    pub roster_holders: BTreeMap<Upstream, RosterHolder>,
     /// Data centres without a live host, with the time since when.
     pub unattended_centres: BTreeMap<heathertrack::name::DataCentre, Time>,
 }
 
+/// The host that was sent the roster of this host's runs on an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RosterHolder {
+    pub host: Host,
+    /// Number of the link on which it was sent; `None` if it has changed since.
+    pub link: Option<u64>,
+}
+
 /// Another entry host with a live link.
 #[derive(Debug)]
 pub struct Peer {
@@ -201,7 +208,7 @@
             dispatchers: Vec::new(),
             owned_upstreams: 0,
             owners_stale: true,
-            sent_rosters: BTreeMap::new(),
+            roster_holders: BTreeMap::new(),
             unattended_centres: BTreeMap::new(),
         }
     }
--- a/crates/heathertrackd/src/entry/tick.rs
+++ b/crates/heathertrackd/src/entry/tick.rs
@@ -92,7 +92,7 @@
             state.pool.on_resume(now);
             state.confirmation.on_resume();
             state.peers.clear();
-            state.sent_rosters.clear();
+            state.roster_holders.clear();
             state.owners_stale = true;
         }
         self.fail_remote_jobs("this host was suspended");
