Count rosters for the owner of an upstream only

Cause: a host that has released an upstream renews there while it lists no strays, and a run on a roster is none. It kept the rosters that it was given while it owned the upstream. Changes of them go to the present owner, and that owner may be the host that gave one.

The test a_leaving_host_renews_no_run_of_its_former_rosters fails before the change ("assertion failed: !renews(&released)").

Change: rosters count for the owner only. So that runs of two hosts that have released an upstream one after the other don't lapse, the owner renews what is on rosters also while it has no run there; before, the second host did that for both.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -168,11 +168,13 @@
     pub(super) fn find_strays(&mut self, key: UpstreamKey) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         let (name, foreign) = (&upstream.record.name, &upstream.foreign);
-        let is_stray = |run: &(Task, u32)| {
-            !foreign.inherited.contains(run) && !self.rosters.contains(name, run)
+        // A host that has released the upstream isn't told of changes of the rosters that it was given.
+        let is_owner = upstream.ownership != Ownership::Released;
+        let is_followed = |run: &(Task, u32)| {
+            foreign.inherited.contains(run) || (is_owner && self.rosters.contains(name, run))
         };
         upstream.foreign.has_strays =
-            self.options.withhold_from_strays && foreign.runs.iter().any(is_stray);
+            self.options.withhold_from_strays && !foreign.runs.iter().all(is_followed);
         if upstream.foreign.has_strays {
             for run in &upstream.runs {
                 if let Some(run) = self.runs.get_mut(*run) {
@@ -332,15 +334,24 @@
         self.effects.push(Effect::Log(Decision::Upstream { upstream, state, age }));
     }
 
+    /// Returns whether this dispatcher follows runs on an upstream, or has to renew the leases of those
+    /// on rosters as its owner.
+    fn is_busy(&self, upstream: &Upstream) -> bool {
+        !upstream.runs.is_empty()
+            || (upstream.ownership != Ownership::Released
+                && self.rosters.has_any(&upstream.record.name))
+    }
+
     /// Schedules the next poll of an upstream after an answer, and sends it if it is due at once.
     fn schedule_poll(&mut self, key: UpstreamKey, now: Time) {
         let idle = self.options.idle_poll_interval;
+        let is_busy = self.upstreams.get(key).is_some_and(|upstream| self.is_busy(upstream));
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.poll_due = if upstream.ownership == Ownership::Acquiring {
             now + ACQUIRING_PAUSE
-        } else if !upstream.runs.is_empty() && !upstream.unacknowledged_ends.is_empty() {
+        } else if is_busy && !upstream.unacknowledged_ends.is_empty() {
             now + UNKNOWN_END_PAUSE
-        } else if !upstream.runs.is_empty() {
+        } else if is_busy {
             now
         } else if upstream.has_ends_to_acknowledge {
             now + UNKNOWN_END_GRACE
@@ -387,13 +398,12 @@
         if released {
             return;
         }
-        let busy = !upstream.runs.is_empty();
         // A run whose stops get no answer ends only when the lease of its upstream expires. No
         // lease is renewed after a failed poll either: if only the answers are lost, runs that go
         // on unseen have to end. Unless the network is partitioned, the next poll is answered, and
         // renewals resume, well before the lease expires. The same holds after an order to an upstream
         // that may have restarted.
-        let renews_lease = busy
+        let renews_lease = self.is_busy(upstream)
             && upstream.ownership != Ownership::Acquiring
             && !upstream.foreign.has_strays
             && upstream.failed_polls == 0
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -57,6 +57,7 @@
                     upstream.foreign.inherits_until = now + inheritance_time;
                 }
                 upstream.poll_due = now;
+                self.find_strays(key);
                 self.poll(key, now);
             }
             (false, Ownership::Acquiring | Ownership::Owned) => {
@@ -67,6 +68,7 @@
                         run.competitor_may_renew = true;
                     }
                 }
+                self.find_strays(key);
             }
             (true, _) | (false, Ownership::Released) => {}
         }
@@ -114,8 +116,8 @@
         let Some(key) = key else { return };
         self.find_strays(key);
         self.withhold_renewals(key, now);
-        let is_acquiring = |upstream: &Upstream| upstream.ownership == Ownership::Acquiring;
-        if self.upstreams.get(key).is_some_and(is_acquiring) {
+        let is_assigned = |upstream: &Upstream| upstream.ownership != Ownership::Released;
+        if self.upstreams.get(key).is_some_and(is_assigned) {
             self.poll_soon(key, now);
         }
     }
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -183,6 +183,44 @@
     assert!(renews(&after));
 }
 
+/// Its rosters are of the time when it owned the upstream, and nobody tells it that one has changed.
+#[test]
+fn a_leaving_host_renews_no_run_of_its_former_rosters() {
+    let mut fixture = running(&["u1"]);
+    let foreign = foreign_run("foreign");
+    let both = [fixture.row.clone(), foreign.clone()];
+    fixture.pool.on_roster(&Host::new("first"), roster("u1", &[foreign]), at(110));
+    let owned = answer(&mut fixture, &both, 120);
+
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(130));
+    let released = answer(&mut fixture, &both, 140);
+    fixture.pool.update_upstream(record("u1"), OWNED, at(150));
+    answer(&mut fixture, &both, 160);
+    let owned_again = answer(&mut fixture, &both, 170);
+
+    assert!(renews(&owned));
+    assert!(!renews(&released));
+    assert!(renews(&owned_again));
+}
+
+/// Neither of them may renew beside the other's runs.
+#[test]
+fn the_owner_renews_for_two_leaving_hosts_also_without_runs_of_its_own() {
+    let mut pool = pool(&["u1"]);
+    let rows = [foreign_run("first"), foreign_run("second")];
+    pool.on_roster(&Host::new("first"), roster("u1", &rows[..1]), at(100));
+    pool.on_roster(&Host::new("second"), roster("u1", &rows[1..]), at(101));
+    let upstream = polls(&pool.take_effects())[0];
+
+    pool.on_poll_answer(upstream, &list(&rows, 110), at(102), at(110));
+    let beside = pool.take_effects();
+    pool.on_poll_answer(upstream, &list(&[], 2_200), at(2_199), at(2_200));
+    let ended = pool.take_effects();
+
+    assert!(renews(&beside));
+    assert!(!renews(&ended));
+}
+
 /// Returns the outcomes of jobs among the effects.
 fn outcomes(effects: &[Effect]) -> Vec<Outcome> {
     let outcome = |effect: &Effect| match effect {
