Send frequent heartbeats while runs on released upstreams are followed

A host that has released all its upstreams and follows runs there is no dispatcher any more, and sends heartbeats at the background period: with 100 links or more once a second, so that it counts as gone after 3.5 s. The owner renews the leases of its runs as long as it has a link. If the host is suspended or partitioned then, its runs live on for up to 3.5 + 0.7 s, while its callers' jobs are sent again after 0.35 + 1.3 s. docs/design/leases.md relies on 350 ms.

What is tested is what the heartbeat asks of the dispatcher; that test can't fail before, as nothing was asked. Price: such a host keeps the heartbeats that it sent as a dispatcher until its last run there has ended.

--- a/crates/heathertrack/src/membership/links.rs
+++ b/crates/heathertrack/src/membership/links.rs
@@ -45,8 +45,8 @@
 }
 
 /// Returns the period at which a host with `links` links sends heartbeats on one of them.
-/// `depends` means that the receiver depends on the sender: the sender is a dispatcher, or has
-/// submitted jobs to the receiver.
+/// `depends` means that the receiver depends on the sender: the sender is a dispatcher, has submitted
+/// jobs to the receiver, or follows runs whose leases the receiver may renew.
 pub fn heartbeat_period(links: usize, depends: bool) -> Duration {
     if depends {
         return FAST_HEARTBEAT_PERIOD;
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -81,6 +81,13 @@
             .is_some_and(|upstream| upstream.ownership == Ownership::Owned)
     }
 
+    /// Returns whether this dispatcher follows runs on upstreams that it has released. The owners renew
+    /// their leases as long as this host has a link.
+    pub fn follows_released_runs(&self) -> bool {
+        let is_released = |upstream: &Upstream| upstream.ownership == Ownership::Released;
+        self.upstreams.values().any(|upstream| is_released(upstream) && !upstream.runs.is_empty())
+    }
+
     /// Returns whether this dispatcher owns an upstream of a data centre, also one that a host
     /// without a link uses.
     pub fn owns_any_of(&self, data_centre: &name::DataCentre, now: Time) -> bool {
--- a/crates/heathertrack/tests/lease.rs
+++ b/crates/heathertrack/tests/lease.rs
@@ -203,6 +203,20 @@
     assert!(renews(&owned_again));
 }
 
+/// Its peers have to notice its loss as soon as that of a dispatcher: the owner renews its runs.
+#[test]
+fn a_host_is_depended_on_until_its_last_run_on_a_released_upstream_has_ended() {
+    let mut fixture = running(&["u1"]);
+    let owned = fixture.pool.follows_released_runs();
+    fixture.pool.update_upstream(record("u1"), !OWNED, at(110));
+    let released = fixture.pool.follows_released_runs();
+
+    answer(&mut fixture, &[], 120);
+
+    assert_eq!((owned, released), (false, true));
+    assert!(!fixture.pool.follows_released_runs());
+}
+
 /// Neither of them may renew beside the other's runs.
 #[test]
 fn the_owner_renews_for_two_leaving_hosts_also_without_runs_of_its_own() {
--- a/crates/heathertrackd/src/entry/link/heartbeat.rs
+++ b/crates/heathertrackd/src/entry/link/heartbeat.rs
@@ -57,13 +57,13 @@
         let mut state = self.state.borrow_mut();
         let links = state.peers.len();
         let with_remote_jobs = state.hosts_with_remote_jobs(now);
-        let is_dispatcher = state.is_dispatcher();
+        let is_depended_on = state.is_dispatcher() || state.pool.follows_released_runs();
         for (host, peer) in &mut state.peers {
             if !is_due(peer) {
                 continue;
             }
             let period =
-                links::heartbeat_period(links, is_dispatcher || with_remote_jobs.contains(host));
+                links::heartbeat_period(links, is_depended_on || with_remote_jobs.contains(host));
             self.send_heartbeat(host, peer, heartbeat, period, now);
         }
     }
