--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -3,7 +3,7 @@
 use super::frame::{Frame, RosterWire};
 use super::metrics;
 use super::node::{EntryHost, Environment};
-use super::state::{Peer, RosterHolder, State};
+use super::state::{MAX_READ_INTERVAL, Peer, RosterHolder, State};
 use heathertrack::clock::Time;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::{Candidate, Roster, choose_dispatchers, owner, startup_grace};
@@ -21,6 +21,9 @@
 /// Time for which an upstream is kept without a record after an outage of the store. The records
 /// are back within about two seconds.
 const MISSING_RECORD_GRACE: Duration = Duration::from_millis(2_500);
+/// Time after a failed read of the store in which a record may go missing because of an outage: the
+/// store may have returned as late as the next read, and upstreams register again within the grace.
+const OUTAGE_AFTEREFFECT: Duration = MAX_READ_INTERVAL.saturating_add(MISSING_RECORD_GRACE);
 
 /// Pause between two assignments that changes of peers cause. An assignment takes a few milliseconds on
 /// a small host with a thousand upstreams, and peers come in hundreds: all hosts dial a new
@@ -318,17 +321,17 @@
         centres
     }
 
-    /// Removes upstreams whose records are missing: at once if the store has never failed,
-    /// otherwise if they have been missing, and the store has not failed, for
-    /// [`MISSING_RECORD_GRACE`].
+    /// Removes upstreams whose records are missing: those that went missing in the
+    /// [`OUTAGE_AFTEREFFECT`] of a failure of the store if they have been missing, and the store has
+    /// not failed, for [`MISSING_RECORD_GRACE`], and others at once.
     fn remove_missing_upstreams(&mut self, now: Time) {
         let last_failure = self.last_store_failure;
         let (expired, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
             std::mem::take(&mut self.missing_upstreams).into_iter().partition(|(_, since)| {
-                let has_failed_recently =
-                    last_failure.is_some_and(|failed| now.since(failed) < MISSING_RECORD_GRACE);
-                !has_failed_recently && now.since(*since) >= MISSING_RECORD_GRACE
-                    || last_failure.is_none()
+                last_failure.is_none_or(|failed| {
+                    since.since(failed) >= OUTAGE_AFTEREFFECT
+                        || now.since(failed.max(*since)) >= MISSING_RECORD_GRACE
+                })
             });
         self.missing_upstreams = kept;
         for name in expired.into_keys() {
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -20,7 +20,7 @@
 
 /// Time after a failed read of the store within which the next read has succeeded or failed: the
 /// longest wait of a call, its timeout, and the pause before it.
-const MAX_READ_INTERVAL: Duration = Duration::from_secs(3);
+pub const MAX_READ_INTERVAL: Duration = Duration::from_secs(3);
 
 /// State of an entry host: its view of the cluster and the work in progress.
 #[derive(Debug)]
