Drop the client of a peer with its connection

What callers saw, on the product's own interface: 502, "task 4: e3 was lost while it had the task", may_have_run, for a job that was sent 300 ms after e3 had been killed.

Cause: the client of a connection was kept until a call on it had failed. A call on the client of a connection that has ended fails at once, and looks like one that may have arrived, so that its task counted as lost. Usually a heartbeat, sent every 400 ms, failed first; here the first call after the kill was a task. The next call connects anew, is refused, and marks the host as unreachable.

Evidence: the new test sends a job 40 ms after the kill, on clusters of three hosts.

Change: the client goes when its connection ends. A task that is sent between the end of a process and that of its connection may still be lost, and is then reported as such. `--platform` has links of its own and doesn't use this code.

--- a/crates/heathertrack_testkit/tests/kill.rs
+++ b/crates/heathertrack_testkit/tests/kill.rs
@@ -76,3 +76,24 @@
     assert_eq!(again.run(), "may_have_run", "{}", String::from_utf8_lossy(&again.body));
     assert_eq!(cluster.starts().await.len(), 1);
 }
+
+/// No heartbeat has failed yet on the connection to the killed host, and the next message there is a task.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_is_lost_on_a_connection_that_has_ended_before() {
+    for _ in 0..4 {
+        let spec = ClusterSpec::default()
+            .data_centres(&["ee-north-1"])
+            .hosts_per_centre(3)
+            .upstream_slowness(&[1.0; 3]);
+        let mut cluster = Cluster::start(spec).await;
+        let caller = cluster.caller("kadriorg-crafts");
+        cluster.hosts[2].process.kill();
+        // A tenth of the interval of heartbeats.
+        tokio::time::sleep(Duration::from_millis(40)).await;
+
+        let answer =
+            caller.submit(&cluster.hosts[0].caller_address, None, &cluster.job(40, 50)).await;
+
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    }
+}
--- a/crates/heathertrackd/src/peers/link.rs
+++ b/crates/heathertrackd/src/peers/link.rs
@@ -5,7 +5,7 @@
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
-use tarpc::client;
+use tarpc::client::{self, NewClient};
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::Mutex;
@@ -24,7 +24,7 @@
 pub struct Link {
     address: String,
     /// Client of the open connection, if there is one.
-    client: ArcSwapOption<PeersClient>,
+    client: Arc<ArcSwapOption<PeersClient>>,
     /// Held during a connection attempt, so that there is only one at a time.
     connecting: Mutex<()>,
 }
@@ -45,7 +45,7 @@
     pub fn new(address: &str) -> Arc<Self> {
         Arc::new(Link {
             address: address.to_owned(),
-            client: ArcSwapOption::empty(),
+            client: Arc::default(),
             connecting: Mutex::new(()),
         })
     }
@@ -85,8 +85,19 @@
         let mut config = client::Config::default();
         config.max_in_flight_requests = MAX_CALLS_IN_FLIGHT;
         config.pending_request_buffer = MAX_CALLS_QUEUED;
-        let client = PeersClient::new(config, transport).spawn();
-        self.client.store(Some(Arc::new(client.clone())));
+        let NewClient { client, dispatch } = PeersClient::new(config, transport);
+        let opened = Arc::new(client.clone());
+        self.client.store(Some(opened.clone()));
+        // A client that is referenced here would keep the connection open after a reset.
+        let (current, opened) = (self.client.clone(), Arc::downgrade(&opened));
+        tokio::spawn(async move {
+            // The calls in flight report why the connection has ended.
+            let _ = dispatch.await;
+            // A call on it would count as one that may have arrived.
+            if let Some(ended) = opened.upgrade() {
+                current.compare_and_swap(&Some(ended), None);
+            }
+        });
         ConnectResult::Connected(client)
     }
 }
