Draw single events around expiring records in the model

Fault::draw_handovers draws records that expire one after the other, so that upstreams pass from host to host, and single events: a host that reads the store late (StaleReads), one path that is cut (CutUpstream), one link that is reset (ResetLink), one order that is late (LateOrder), a host that is held up for 20 to 800 ms, a planned stop. Callers whose connection broke submit their job again (Load::reconnecting_share). A check of its own looks for two runs at once in the spans of runs alone (overlaps), beside the violations that the model already reports.

--- a/crates/heathertrack_model/src/fault.rs
+++ b/crates/heathertrack_model/src/fault.rs
@@ -31,6 +31,9 @@
     /// Messages from a host to a share of the upstreams are lost, or with `back` those from the
     /// upstreams to the host.
     CutUpstreams { host: usize, share: f64, back: bool, span: Duration },
+    /// Messages from a host to an upstream are lost, or with `back` those from the upstream to the
+    /// host.
+    CutUpstream { host: usize, upstream: usize, back: bool, span: Duration },
     /// Connections from a host to a share of the upstreams are reset, and refused from then on.
     ResetUpstreams { host: usize, share: f64, span: Duration },
     /// Connections from all hosts to an upstream are reset, and refused from then on. The upstream
@@ -41,10 +44,14 @@
     /// A host's connections to a share of the other hosts are reset, and again each second. New ones
     /// are accepted.
     ResetLinks { host: usize, share: f64, span: Duration },
+    /// The connections between two hosts are reset once. New ones are accepted.
+    ResetLink { one: usize, other: usize },
     /// A data centre is partitioned from all others and from the store.
     CutCentre { centre: usize, span: Duration },
     /// A share of the orders to upstreams gets no answer and is executed seconds later.
     LateOrders { share: f64, span: Duration },
+    /// The next order from a host to an upstream gets no answer and is executed seconds later.
+    LateOrder { host: usize, upstream: usize },
     /// A share of the answers to orders is lost. The orders are executed.
     LostAnswers { share: f64, span: Duration },
     /// An upstream crashes, and starts again under the same name after `down`.
@@ -68,6 +75,8 @@
     Drain { upstream: usize, after: Duration },
     /// An upstream is partitioned from the store alone: its record is removed for `span`.
     LoseRecord { upstream: usize, span: Duration },
+    /// The store answers a host with its content at the begin of the fault.
+    StaleReads { host: usize, span: Duration },
     /// The store answers all calls with an error.
     StoreDown { span: Duration },
     /// The rate at which callers arrive is multiplied by `factor`.
@@ -117,6 +126,69 @@
     }
 }
 
+impl Fault {
+    /// Draws single events around records that expire, from 5% to 30% of `length` on: `records`
+    /// upstreams of one data centre are partitioned from the store within 2.5 s of each other, so that
+    /// upstreams pass from host to host, and `others` further events hit the hosts of that data
+    /// centre, their links, their view of the store or their paths to upstreams.
+    pub fn draw_handovers(
+        seed: u64,
+        records: usize,
+        others: usize,
+        length: Duration,
+        site: &Site,
+    ) -> Vec<Fault> {
+        let mut random = StdRng::seed_from_u64(seed ^ HANDOVER_SEED);
+        let begin = length.mul_f64(random.random_range(0.05..0.3));
+        let centre = random.random_range(0..site.centres);
+        let first = centre * site.upstreams_each;
+        let cut: Vec<usize> =
+            (0..records).map(|_| first + random.random_range(0..site.upstreams_each)).collect();
+        let mut faults: Vec<Fault> = Vec::new();
+        for upstream in &cut {
+            let at = begin + Duration::from_millis(random.random_range(0..2_500));
+            let span = Duration::from_millis(random.random_range(500..5_000));
+            faults.push(Fault { at, kind: FaultKind::LoseRecord { upstream: *upstream, span } });
+        }
+        for _ in 0..others {
+            let at = begin + Duration::from_millis(random.random_range(0..5_000));
+            let upstream = cut[random.random_range(0..cut.len())];
+            let kind = draw_single_event(&mut random, centre, upstream, site);
+            faults.push(Fault { at, kind });
+        }
+        faults.sort_by_key(|fault| fault.at);
+        faults
+    }
+}
+
+/// Draws an event that hits one host of a data centre, one of its links, or its path to an upstream.
+fn draw_single_event(
+    random: &mut StdRng,
+    centre: usize,
+    upstream: usize,
+    site: &Site,
+) -> FaultKind {
+    let first = centre * site.hosts_each;
+    let host = first + random.random_range(0..site.hosts_each);
+    let neighbour = random.random_range(1..site.hosts_each.max(2));
+    let other = first + (host - first + neighbour) % site.hosts_each;
+    // Up to about twice the time after which hosts give each other up.
+    let moment = Duration::from_millis(random.random_range(20..800));
+    let span = Duration::from_millis(random.random_range(100..4_000));
+    let back = random.random();
+    match random.random_range(0..12) {
+        0..3 => FaultKind::StaleReads { host, span },
+        3 => FaultKind::CutUpstream { host, upstream, back, span },
+        4 => FaultKind::CutUpstream { host, upstream, back, span: moment },
+        5 | 6 => FaultKind::CutUpstreams { host, share: 1.0, back, span },
+        7 => FaultKind::CutHosts { from: host, to: other, span: moment },
+        8 => FaultKind::ResetLink { one: host, other },
+        9 => FaultKind::Freeze { host, span: moment },
+        10 => FaultKind::LateOrder { host, upstream },
+        _ => FaultKind::Stop { host },
+    }
+}
+
 /// Returns the kinds of faults that one draw stands for, each with the time from the drawn one.
 /// [`draw_kind`] draws half of them; the others are those of connections and of upstreams that
 /// restart or are replaced.
@@ -151,6 +223,8 @@
 const FAULT_SEED: u64 = 0x5eed;
 /// Like [`FAULT_SEED`], for [`Fault::draw_dense`].
 const DENSE_FAULT_SEED: u64 = 0xde45e;
+/// Like [`FAULT_SEED`], for [`Fault::draw_handovers`].
+const HANDOVER_SEED: u64 = 0x4a2d;
 
 /// What a fault affects.
 enum Target {
@@ -158,6 +232,8 @@
     Host(usize),
     /// The path from one host to another.
     Hosts(usize, usize),
+    /// The path between a host and an upstream.
+    Path(usize, usize),
     /// The hosts of a data centre, and their paths to others.
     Centre(usize),
     /// All hosts.
@@ -178,9 +254,13 @@
             | FaultKind::KillWhileStopping { host, .. }
             | FaultKind::IsolateHost { host, .. }
             | FaultKind::CutUpstreams { host, .. }
+            | FaultKind::StaleReads { host, .. }
             | FaultKind::ResetUpstreams { host, .. }
             | FaultKind::ResetLinks { host, .. } => Target::Host(host),
             FaultKind::CutHosts { from, to, .. } => Target::Hosts(from, to),
+            FaultKind::ResetLink { one, other } => Target::Hosts(one, other),
+            FaultKind::CutUpstream { host, upstream, .. }
+            | FaultKind::LateOrder { host, upstream } => Target::Path(host, upstream),
             FaultKind::CutCentre { centre, .. } => Target::Centre(centre),
             FaultKind::KillAll { .. }
             | FaultKind::StoreDown { .. }
@@ -207,7 +287,11 @@
     /// counts as one that affects all hosts.
     pub fn affects_hosts(&self) -> bool {
         match self.target() {
-            Target::Host(_) | Target::Hosts(..) | Target::Centre(_) | Target::AllHosts => true,
+            Target::Host(_)
+            | Target::Hosts(..)
+            | Target::Path(..)
+            | Target::Centre(_)
+            | Target::AllHosts => true,
             Target::Upstream(_) | Target::Any => false,
         }
     }
@@ -217,6 +301,7 @@
         match self.target() {
             Target::Host(host) => host < site.hosts(),
             Target::Hosts(from, to) => from != to && from.max(to) < site.hosts(),
+            Target::Path(host, upstream) => host < site.hosts() && upstream < site.upstreams(),
             Target::Centre(centre) => centre < site.centres,
             Target::Upstream(upstream) => upstream < site.upstreams(),
             Target::AllHosts | Target::Any => true,
--- a/crates/heathertrack_model/src/lib.rs
+++ b/crates/heathertrack_model/src/lib.rs
@@ -23,6 +23,7 @@
 mod log_sink;
 mod network;
 mod orders;
+mod overlap;
 mod pattern;
 mod plan;
 mod process;
@@ -33,6 +34,7 @@
 
 pub use fault::{Fault, FaultKind};
 pub use load::{Class, Load};
+pub use overlap::{Overlap, Span, overlaps};
 pub use pattern::{Pattern, PatternError};
 pub use plan::{Plan, Site};
 pub use verdict::{JobStats, Verdict, Violation};
--- a/crates/heathertrack_model/src/load.rs
+++ b/crates/heathertrack_model/src/load.rs
@@ -40,6 +40,9 @@
     pub poison_share: f64,
     /// Share of the callers that disconnect before their job's objective has passed.
     pub leaving_share: f64,
+    /// Share of the disconnecting callers that submit their job again, as after a connection that broke
+    /// on their side.
+    pub reconnecting_share: f64,
     /// Share of the callers that submit a refused job once more, after the retry time that they
     /// were given.
     pub returning_share: f64,
@@ -86,6 +89,7 @@
             estimate_error: 0.4,
             poison_share: 0.002,
             leaving_share: 0.0,
+            reconnecting_share: 0.0,
             returning_share: 0.0,
         }
     }
--- a/crates/heathertrack_model/src/orders.rs
+++ b/crates/heathertrack_model/src/orders.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 pub struct OrderFaults {
     /// Share of the orders that get no answer and are executed seconds later.
     pub late_share: Cell<f64>,
+    /// Paths, from a host to an upstream, on which the next order is executed late.
+    pub late_paths: RefCell<BTreeSet<(usize, usize)>>,
     /// Share of the answers that are lost.
     pub lost_answer_share: Cell<f64>,
 }
@@ -82,7 +85,8 @@
             self.network.deliver(target, own).await;
             return None;
         }
-        if self.draw_chance(self.order_faults.late_share.get()) {
+        let is_late = self.order_faults.late_paths.borrow_mut().remove(&(self.host, index));
+        if is_late || self.draw_chance(self.order_faults.late_share.get()) {
             let delay_s = self.random.borrow_mut().random_range(2.0..12.0);
             // Outside of the host's process, so that it is executed even if the host is killed.
             let late = LateOrder {
--- a/crates/heathertrack_model/src/store.rs
+++ b/crates/heathertrack_model/src/store.rs
@@ -29,6 +29,8 @@
     revision: Cell<u64>,
     /// Notified after every write.
     changed: Notify,
+    /// Content that some hosts are answered with instead of the current one.
+    frozen_views: RefCell<BTreeMap<usize, Changes>>,
     /// Whether all calls fail.
     pub down: Cell<bool>,
 }
@@ -59,10 +61,27 @@
         self.changed.notify_waiters();
     }
 
-    /// Returns the items that changed after a revision.
-    fn after(&self, revision: u64) -> Changes {
+    /// Answers a host with the current content from now on, whatever changes.
+    pub fn freeze_view(&self, host: usize) {
+        let view = self.after(host, 0);
+        self.frozen_views.borrow_mut().insert(host, view);
+    }
+
+    /// Ends [`Self::freeze_view`].
+    pub fn restore_view(&self, host: usize) {
+        self.frozen_views.borrow_mut().remove(&host);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the items that changed after a revision, as a host sees them.
+    fn after(&self, host: usize, revision: u64) -> Changes {
+        let is_newer = |item: &&Item| item.revision > revision;
+        if let Some(view) = self.frozen_views.borrow().get(&host) {
+            let newer = view.items.iter().filter(is_newer).cloned().collect();
+            return Changes { items: newer, revision: view.revision };
+        }
         let items = self.items.borrow();
-        let newer = items.values().filter(|item| item.revision > revision).cloned().collect();
+        let newer = items.values().filter(is_newer).cloned().collect();
         Changes { items: newer, revision: self.revision.get() }
     }
 }
@@ -105,7 +124,7 @@
         wait: Duration,
     ) -> Result<Changes, WatchError> {
         let newer = || {
-            let mut changes = self.state.after(after);
+            let mut changes = self.state.after(self.host, after);
             changes.items.retain(&wanted);
             changes
         };
@@ -131,7 +150,7 @@
     }
 
     async fn read_all(&self) -> Result<Changes, CallError> {
-        self.call(Duration::ZERO, async { self.state.after(0) }).await
+        self.call(Duration::ZERO, async { self.state.after(self.host, 0) }).await
     }
 
     async fn watch(&self, after: u64, wait: Duration) -> Result<Changes, WatchError> {
--- a/crates/heathertrack_model/src/verdict.rs
+++ b/crates/heathertrack_model/src/verdict.rs
@@ -1,3 +1,4 @@
+use super::overlap::Span;
 use heathertrack::pool::Task;
 use std::fmt;
 use std::time::Duration;
@@ -77,6 +78,8 @@
     pub classes: Vec<(&'static str, JobStats)>,
     /// Number of runs of tasks.
     pub runs: usize,
+    /// All runs of tasks.
+    pub spans: Vec<Span>,
     /// Largest number of upstreams that crashed under one task.
     pub most_losses: usize,
     /// Total run time, over all tasks, of every run but the task's last, in seconds.
--- a/crates/heathertrack_model/src/world.rs
+++ b/crates/heathertrack_model/src/world.rs
@@ -9,6 +9,7 @@
 use super::log_sink::LogSink;
 use super::network::{HostNetwork, Network, Node};
 use super::orders::{Fleet, HostUpstreams, OrderFaults};
+use super::overlap::Span;
 use super::plan::Plan;
 use super::process::Process;
 use super::store::{HostStore, StoreState};
@@ -325,10 +326,19 @@
         let mut runs: BTreeMap<Task, Vec<CompletedRun>> = BTreeMap::new();
         let mut superseded_seconds = 0.0;
         let mut most_losses = 0;
-        for upstream in self.fleet.borrow().iter() {
+        let mut spans = Vec::new();
+        let origin = self.auditor.origin.get();
+        for (index, upstream) in self.fleet.borrow().iter().enumerate() {
             let mut upstream = upstream.borrow_mut();
             upstream.end_all_runs(now);
             for run in &upstream.completed_runs {
+                spans.push(Span {
+                    task: run.task.clone(),
+                    upstream: index,
+                    begin: run.started_at - origin,
+                    end: run.ended_at - origin,
+                    started_late: run.started_late,
+                });
                 runs.entry(run.task.clone()).or_default().push(run.clone());
             }
         }
@@ -388,6 +398,7 @@
             violations,
             classes,
             runs: runs.values().map(Vec::len).sum(),
+            spans,
             most_losses,
             superseded_seconds,
             log,
--- a/crates/heathertrack_model/src/world/caller.rs
+++ b/crates/heathertrack_model/src/world/caller.rs
@@ -23,16 +23,20 @@
 
 /// Runs one caller: draws a job, submits it until there is an outcome, and records the result.
 pub(super) async fn run(world: Rc<World>) {
-    let (drawn, id, leaves_after, deadly) = {
+    let (drawn, id, mut leaves_after, reconnects, deadly) = {
         let mut random = world.random.borrow_mut();
         let drawn = world.plan.load.draw(&mut random);
         let id = Id::new(format!("{:016x}", random.random::<u64>()));
         let leaves = random.random_bool(world.leaving_share.get());
         let leaves_after = leaves.then(|| drawn.objective.mul_f64(random.random_range(0.05..0.9)));
+        let reconnecting_share = world.plan.load.reconnecting_share;
+        // Without reconnecting callers nothing is drawn, so that the other draws of a seed stay the same.
+        let reconnects =
+            leaves && reconnecting_share > 0.0 && random.random_bool(reconnecting_share);
         let deadly_share = world.deadly_share.get();
         // Without deadly tasks nothing is drawn, so that the other draws of a seed stay the same.
         let deadly = deadly_share > 0.0 && random.random_bool(deadly_share);
-        (drawn, id, leaves_after, deadly)
+        (drawn, id, leaves_after, reconnects, deadly)
     };
     world.job_profiles.borrow_mut().insert(
         id.clone(),
@@ -69,6 +73,10 @@
                 }
                 break Some(outcome);
             }
+            Answer::Left if reconnects => {
+                leaves_after = None;
+                sleep(RESUBMIT_DELAY).await;
+            }
             Answer::Left => return,
             Answer::Missing(waited) => {
                 let job = id.to_string();
--- a/crates/heathertrack_model/src/world/fault.rs
+++ b/crates/heathertrack_model/src/world/fault.rs
@@ -60,6 +60,11 @@
             let paths: Vec<_> = world.paths(host, share).map(directed).collect();
             world.partition(&paths, span).await;
         }
+        FaultKind::CutUpstream { host, upstream, back, span } => {
+            let (own, target) = (Node::Host(host), Node::Upstream(upstream));
+            let path = if back { (target, own) } else { (own, target) };
+            world.partition(&[path], span).await;
+        }
         FaultKind::ResetUpstreams { host, share, span } => {
             let set = |refusing| {
                 world
@@ -81,10 +86,19 @@
             let is_reset = |one, other| one == Node::Host(host) && others.contains(&other);
             world.reset_links(is_reset, span).await;
         }
+        FaultKind::ResetLink { one, other } => {
+            world.mark_disturbed(one);
+            world.mark_disturbed(other);
+            let ends = (Node::Host(one), Node::Host(other));
+            world.network.reset_connections(|from, to| (from, to) == ends);
+        }
         FaultKind::CutCentre { centre, span } => world.partition_centre(centre, span).await,
         FaultKind::LateOrders { share, span } => {
             set_for(&world.order_faults.late_share, share, 0.0, span).await;
         }
+        FaultKind::LateOrder { host, upstream } => {
+            world.order_faults.late_paths.borrow_mut().insert((host, upstream));
+        }
         FaultKind::LostAnswers { share, span } => {
             set_for(&world.order_faults.lost_answer_share, share, 0.0, span).await;
         }
@@ -120,6 +134,11 @@
             sleep(span).await;
             world.store.put(DecodedItem::Upstream(record));
         }
+        FaultKind::StaleReads { host, span } => {
+            world.store.freeze_view(host);
+            sleep(span).await;
+            world.store.restore_view(host);
+        }
         FaultKind::StoreDown { span } => {
             world.store.down.set(true);
             sleep(span).await;
