Take no run for over that a former owner may have renewed

Callers of a job saw a task run twice, for up to 0.49 s.

A host takes a run for over once the last lease that it granted has expired, unless it knows of another host that may have renewed it. It knew of none in two cases:

- An upstream has just passed to it.
The former owner may learn of that a second later, as hosts read the store about once a second, and start a run meanwhile on a list that is up to 5 s old.
The start renews the leases of all runs there.
- An upstream came back on which it still followed runs.
The former owner has these on a roster and renews by it, on lists of the last 400 ms that need not show a newer run yet.

For 1.5 s after an upstream has passed to a host and one lease more no run there is taken for over by time alone, if there are other hosts. Runs on an upstream that the host had released with runs count as shared, as beside runs of others.

Price: the loss of an upstream that crashes within 2.2 s after it has passed on is noticed at the end of that time, not after 0.7 s.

--- a/crates/heathertrack/src/pool/machine.rs
+++ b/crates/heathertrack/src/pool/machine.rs
@@ -70,6 +70,8 @@
     unassigned_since: Option<Time>,
     /// Whether a competing dispatcher may use the same upstreams.
     has_competitors: bool,
+    /// Whether there are other hosts that may have owned an upstream which passes to this dispatcher.
+    has_peers: bool,
     /// Sequence number of the last submitted job.
     last_sequence: u64,
     /// Effects that the owner of the pool has not taken yet.
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -165,8 +165,9 @@
         let needs = job.request.steps[step_index].needs;
         let task = job.task(step_index, task_index);
         let task_state = &mut job.steps[step_index][task_index];
-        let is_shared =
-            !upstream.foreign.runs.is_empty() || self.rosters.has_any(&upstream.record.name);
+        let is_shared = upstream.has_shared_runs
+            || !upstream.foreign.runs.is_empty()
+            || self.rosters.has_any(&upstream.record.name);
         let run = self.runs.insert(Run {
             task: task.clone(),
             number,
--- a/crates/heathertrack/src/pool/machine/sweep.rs
+++ b/crates/heathertrack/src/pool/machine/sweep.rs
@@ -125,7 +125,8 @@
                 upstream.missing_since.is_some()
                     && run.expiring_since.is_some_and(|since| now.since(since) > max_renewal_time)
             };
-            now > upstream.lease_expiry.max(run.shared_until).max(run.unanswered_until)
+            let last_expiry = upstream.lease_expiry.max(upstream.former_owner_until);
+            now > last_expiry.max(run.shared_until).max(run.unanswered_until)
                 && (!run.competitor_may_renew || is_abandoned())
         };
         let mut expired: BTreeMap<UpstreamKey, Vec<RunKey>> = BTreeMap::new();
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -9,7 +9,17 @@
 /// learn of each other's start and end at slightly different times.
 const HANDOVER_MEMORY: Duration = Duration::from_millis(500);
 
+/// Longest time by which a live host learns later than another that an upstream has passed on: the
+/// longest pause between two reads of the store (1 s), the read, and its handling on a busy host.
+const MAX_VIEW_DELAY: Duration = Duration::from_millis(1_500);
+
 impl Pool {
+    /// Sets whether there are other hosts that may have owned an upstream which passes to this
+    /// dispatcher.
+    pub fn set_has_peers(&mut self, has_peers: bool) {
+        self.has_peers = has_peers;
+    }
+
     /// Updates an upstream from its record and from whether this dispatcher owns it. An unknown
     /// upstream is added only if it is owned.
     pub fn update_upstream(&mut self, record: Record, owned: bool, now: Time) {
@@ -46,15 +56,18 @@
     }
 
     fn set_owned(&mut self, key: UpstreamKey, owned: bool, now: Time) {
-        let inheritance_time = self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
+        let max_lease = self.options.lease.mul_f64(SLOW_CLOCK_FACTOR);
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         match (owned, upstream.ownership) {
             (true, Ownership::Released) => {
                 upstream.ownership = Ownership::Acquiring;
+                if self.has_peers {
+                    upstream.former_owner_until = now + MAX_VIEW_DELAY + max_lease;
+                }
                 upstream.foreign.listed_since = None;
                 let handed_over_at = self.handovers.remove(&upstream.record.name);
                 if handed_over_at.is_some_and(|at| now.since(at) < HANDOVER_MEMORY) {
-                    upstream.foreign.inherits_until = now + inheritance_time;
+                    upstream.foreign.inherits_until = now + max_lease;
                 }
                 upstream.poll_due = now;
                 self.find_strays(key);
@@ -62,6 +75,7 @@
             }
             (false, Ownership::Acquiring | Ownership::Owned) => {
                 upstream.ownership = Ownership::Released;
+                upstream.has_shared_runs |= !upstream.runs.is_empty();
                 // From now on the next owner renews the leases of these runs.
                 for run in &upstream.runs {
                     if let Some(run) = self.runs.get_mut(*run) {
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -137,6 +137,12 @@
     pub poll_due: Time,
     /// When the lease that this dispatcher renewed has expired for certain, on its own clock.
     pub lease_expiry: Time,
+    /// When the last lease has expired that a former owner may have granted before it learned that the
+    /// upstream has passed to this dispatcher.
+    pub former_owner_until: Time,
+    /// Whether this dispatcher has released the upstream with runs, and so given a roster of them away:
+    /// its holder may go on renewing after the upstream is back.
+    pub has_shared_runs: bool,
     /// Number of failed polls in a row.
     pub failed_polls: u32,
     /// When an order or a poll first failed since the last answer, if one has.
@@ -189,6 +195,8 @@
             polls_in_flight: 0,
             poll_due: now,
             lease_expiry: now,
+            former_owner_until: Time::ZERO,
+            has_shared_runs: false,
             failed_polls: 0,
             unresponsive_since: None,
             stopped_at: None,
--- a/crates/heathertrack_model/tests/handovers.rs
+++ b/crates/heathertrack_model/tests/handovers.rs
@@ -138,3 +138,21 @@
         [(1_500, loss)].into_iter().chain(cuts).chain(freezes).collect()
     });
 }
+
+/// A host learns a second later than another one that an upstream without runs has passed to that one,
+/// and starts a run there. This renews the lease of runs that the new owner no longer reaches.
+#[test]
+fn a_former_owner_that_starts_a_run_late_keeps_no_run_alive_that_is_taken_for_over() {
+    check_order(|seed| {
+        let cut = |upstream| FaultKind::CutUpstream {
+            host: FOLLOWER,
+            upstream,
+            back: seed % 2 == 0,
+            span: ms(3_000),
+        };
+        let loss = FaultKind::LoseRecord { upstream: 0, span: ms(800) };
+        let stale = FaultKind::StaleReads { host: OWNER, span: ms(1_100) };
+        let cuts = (1..22).map(|upstream| (2_450 + 50 * (seed % 12), cut(upstream)));
+        [(1_500, loss), (2_200, stale)].into_iter().chain(cuts).collect()
+    });
+}
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -274,6 +274,7 @@
         now: Time,
     ) -> Assignment {
         let has_current_records = self.has_current_records(now);
+        self.pool.set_has_peers(candidates.len() > 1);
         let (mut assigned, mut owned) = (0, 0);
         let mut dispatchers: Vec<Host> = Vec::new();
         let mut handovers: BTreeMap<Host, Vec<String>> = BTreeMap::new();
