Wait for the time of a stop before a run that has vanished is over

A caller's job ran twice for 7 to 22 ms: on one upstream its run was being stopped, on another one it had started again.

A run that is being stopped is in no list for up to 50 ms. Its host knew that of runs that it stops itself, and took others for over as soon as a list lacked them. Two hosts that have each started a submission of a job number their runs alike; an order to stop that is repeated until it is answered then meets the run of the other host.

A run that vanishes without a listed end, and without an order to stop from here, is now over when a list that was asked for 52 ms later lacks it as well. Runs of a process that has been replaced are lost at once, as before.

--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -136,6 +136,7 @@
             seen.push(run_key);
             let Some(run) = self.runs.get_mut(run_key) else { continue };
             run.seen_at = Some(now);
+            run.is_absent = false;
             run.process_started_ms = Some(listing.started_ms);
             if run.state == RunState::Starting {
                 run.state = RunState::Running;
@@ -210,8 +211,24 @@
         let (absent, lost): (Vec<RunKey>, Vec<RunKey>) = over.partition(of_same_process);
         self.lose_runs(key, lost, upstream.replacement_cause(now), RunEnd::Disappeared, now);
         for run in absent {
-            self.end_run(run, RunEnd::Disappeared, now);
+            if !self.awaits_foreign_stop(run, now) {
+                self.end_run(run, RunEnd::Disappeared, now);
+            }
+        }
+    }
+
+    /// Returns whether a run that has just become absent from the lists may still be at work: another
+    /// host, which has started an earlier submission of its job, may have ordered its stop, and a run that
+    /// is being stopped is in no list. A list from after the time of a stop then shows its end.
+    fn awaits_foreign_stop(&mut self, key: RunKey, now: Time) -> bool {
+        let Some(run) = self.runs.get_mut(key) else { return false };
+        if run.state == RunState::Stopping || run.is_absent {
+            return false;
         }
+        run.is_absent = true;
+        run.absence_proves_end_at = Some(now + self.options.max_stop_time);
+        run.poll_for_end = true;
+        true
     }
 
     /// Completes the acquisition of an upstream once a list has no strays, and begins it again when
--- a/crates/heathertrack/src/pool/machine/place.rs
+++ b/crates/heathertrack/src/pool/machine/place.rs
@@ -180,6 +180,7 @@
             expected,
             absence_proves_end_at: None,
             poll_for_end: false,
+            is_absent: false,
             seen_at: None,
             early_failure: None,
             competitor_may_renew: self.has_competitors,
--- a/crates/heathertrack/src/pool/run.rs
+++ b/crates/heathertrack/src/pool/run.rs
@@ -67,6 +67,9 @@
     /// Whether the upstream has to be polled at `absence_proves_end_at`, as no listed end will
     /// complete the poll in flight.
     pub poll_for_end: bool,
+    /// Whether the last list lacked it although no order of this dispatcher has stopped it. Another
+    /// host may have, and a run that is being stopped is in no list.
+    pub is_absent: bool,
     /// When the upstream last reported it as running.
     pub seen_at: Option<Time>,
     /// Sequence number of the end that lists this run as failed before its order was answered. It may be
