End a link whose queue of messages is full

A message that didn't fit into the queue of a link (1,024) was dropped with a log line, and the link went on. The peer then acted on what earlier messages had said: it renewed by a roster from which a run had left, or ran a job whose caller had been told that it was cancelled.

A link that has lost a message now ends. That has a meaning on both sides already: rosters that were given on it no longer count, and jobs that were handed over on it end. All messages go through link::Outbox, which notifies the link.

--- a/crates/heathertrackd/src/entry/cancel.rs
+++ b/crates/heathertrackd/src/entry/cancel.rs
@@ -167,7 +167,7 @@
                 continue;
             };
             let frame = Frame::CancelJob { search: number, id: id.to_string() };
-            if peer.frames.try_send(frame).is_err() {
+            if peer.outbox.send(frame).is_err() {
                 self.event_log.link_full(host);
             }
         }
@@ -257,7 +257,7 @@
         } else {
             Frame::Cancel { call }
         };
-        if peer.frames.try_send(frame).is_err() {
+        if peer.outbox.send(frame).is_err() {
             event_log.link_full(&job.host);
         }
         if !takes_cancellations && let Some(job) = self.remote_jobs.remove(&call) {
--- a/crates/heathertrackd/src/entry/dispatch.rs
+++ b/crates/heathertrackd/src/entry/dispatch.rs
@@ -88,7 +88,7 @@
         };
         for peer in state.peers.values().filter(takes_them) {
             for frame in Frame::report_losses(&losses, peer.takes_doubtful_losses) {
-                if peer.frames.try_send(frame).is_err() {
+                if peer.outbox.send(frame).is_err() {
                     self.event_log.link_full(&peer.record.name);
                 }
             }
@@ -193,7 +193,7 @@
                     if !peer.takes_cancellations {
                         how = how.without_cancelled();
                     }
-                    if peer.frames.try_send(Frame::Ended { call, how }).is_err() {
+                    if peer.outbox.send(Frame::Ended { call, how }).is_err() {
                         self.event_log.link_full(&host);
                     }
                 }
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -214,7 +214,7 @@
         self.write("peer_lost", fields);
     }
 
-    /// Logs a dropped message: the send queue of a peer is full or closed.
+    /// Logs a message that wasn't sent: the queue of a peer is full, which ends the link, or closed.
     pub fn link_full(&self, peer: &Host) {
         self.write("link_full", json!({ "peer": peer.as_str() }));
     }
--- a/crates/heathertrackd/src/entry/link.rs
+++ b/crates/heathertrackd/src/entry/link.rs
@@ -2,8 +2,11 @@
 
 mod dial;
 mod heartbeat;
+mod outbox;
 mod peer;
 
+pub use outbox::Outbox;
+
 use super::boot_clock::Clock;
 use super::frame::{Envelope, Frame, Hello};
 use super::node::{EntryHost, Environment};
@@ -24,8 +27,6 @@
 
 /// Timeout of sending a message to a peer that reads too slowly, and of the first message from it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(350);
-/// Number of messages that can be queued for a slow peer.
-const SEND_QUEUE_FRAMES: usize = 1_024;
 /// Maximum size of a message; the largest is a copy of the items of the store.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -59,9 +60,13 @@
     let mut link = Link { entry: entry.clone(), framed, transit: Cell::default() };
     let Some(hello) = link.exchange_hello(dialled).await else { return };
     let host = Host::new(hello.name.clone());
-    let (frames, queue) = mpsc::channel(SEND_QUEUE_FRAMES);
-    let Some(link_number) = entry.add_peer(hello, dialled, frames) else { return };
-    let why = link.serve(&host, link_number, queue).await;
+    let (outbox, queue, overflow) = Outbox::open();
+    let Some(link_number) = entry.add_peer(hello, dialled, outbox) else { return };
+    let why = tokio::select! {
+        biased;
+        () = overflow.notified() => "its queue of messages is full",
+        why = link.serve(&host, link_number, queue) => why,
+    };
     entry.remove_peer(&host, link_number, why);
 }
 
--- a/crates/heathertrackd/src/entry/link/heartbeat.rs
+++ b/crates/heathertrackd/src/entry/link/heartbeat.rs
@@ -76,7 +76,7 @@
         period: Duration,
         now: Time,
     ) {
-        if peer.frames.try_send(Frame::Heartbeat(heartbeat.with_period(period))).is_err() {
+        if peer.outbox.send(Frame::Heartbeat(heartbeat.with_period(period))).is_err() {
             self.event_log.link_full(host);
             return;
         }
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -3,6 +3,7 @@
 
 use crate::entry::boot_clock::Clock;
 use crate::entry::frame::{Frame, Heartbeat, Hello, ItemWire, LossWire, RosterWire, Submit};
+use crate::entry::link::Outbox;
 use crate::entry::node::{EntryHost, Environment};
 use crate::entry::state::{Peer, Reply};
 use heathertrack::membership::depth::MirrorScope;
@@ -14,7 +15,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 
 /// Maximum transit time of a submitted job. After a longer one, the sender may already have
 /// submitted the job to another dispatcher.
@@ -31,7 +31,7 @@
         self: &Rc<Self>,
         hello: Hello,
         dialled: bool,
-        frames: mpsc::Sender<Frame>,
+        outbox: Outbox,
     ) -> Option<u64> {
         let Hello {
             incarnation,
@@ -65,7 +65,7 @@
         let peer = Peer {
             link_number,
             record: record.clone(),
-            frames,
+            outbox,
             incarnation,
             takes_handovers,
             takes_losses,
@@ -90,7 +90,7 @@
         if takes_cancellations {
             for frame in self.cancelled_frames() {
                 // The queue of a new link has room.
-                let _ = peer.frames.try_send(frame);
+                let _ = peer.outbox.send(frame);
             }
         }
         let now = self.now();
@@ -100,7 +100,7 @@
         if takes_losses {
             for frame in Frame::report_losses(&losses, takes_doubtful_losses) {
                 // The queue of a new link has room.
-                let _ = peer.frames.try_send(frame);
+                let _ = peer.outbox.send(frame);
             }
         }
         state.peers.insert(host.clone(), peer);
@@ -202,14 +202,12 @@
         // Counts only the jobs that were handed to the peer since this heartbeat.
         peer.handed_cores = 0.0;
         let is_same_centre = peer.record.data_centre == self.record.data_centre;
-        let frames = peer.frames.clone();
+        let outbox = peer.outbox.clone();
         let has_newer = heartbeat.version > configuration_version
             || (follows_all && is_store_failing && heartbeat.revision > own_revision);
         if has_newer
             && state.catch_up.should_ask(is_store_failing, is_same_centre, now)
-            && frames
-                .try_send(Frame::RequestItems { after: own_revision, all: follows_all })
-                .is_err()
+            && outbox.send(Frame::RequestItems { after: own_revision, all: follows_all }).is_err()
         {
             // The send queue is full, or closed because the link has ended.
             self.event_log.link_full(host);
@@ -316,7 +314,7 @@
     pub(in crate::entry) fn send_to(&self, host: &Host, frame: Frame) {
         let state = self.state.borrow();
         let Some(peer) = state.peers.get(host) else { return };
-        if peer.frames.try_send(frame).is_err() {
+        if peer.outbox.send(frame).is_err() {
             self.event_log.link_full(host);
         }
     }
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -123,7 +123,7 @@
                 continue;
             }
             let wire = rosters.values().map(RosterWire::from).collect();
-            if peer.frames.try_send(Frame::Rosters { rosters: wire }).is_err() {
+            if peer.outbox.send(Frame::Rosters { rosters: wire }).is_err() {
                 self.event_log.link_full(&host);
                 continue;
             }
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -1,5 +1,5 @@
 use super::cancel::WaitingJobs;
-use super::frame::Frame;
+use super::link::Outbox;
 use super::mirror::Mirror;
 use heathertrack::clock::Time;
 use heathertrack::membership::depth::{MirrorScope, first_full_read_delay, mirror_scope};
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 /// Time after a failed read of the store within which the next read has succeeded or failed: the
 /// longest wait of a call, its timeout, and the pause before it.
@@ -110,7 +110,7 @@
     pub link_number: u64,
     pub record: HostRecord,
     /// Queue of messages to the peer.
-    pub frames: mpsc::Sender<Frame>,
+    pub outbox: Outbox,
     /// Incarnation of the process at the other end.
     pub incarnation: u64,
     /// Whether the peer understands [`Frame::Handover`].
--- a/crates/heathertrackd/src/entry/submit.rs
+++ b/crates/heathertrackd/src/entry/submit.rs
@@ -59,7 +59,7 @@
                     return;
                 }
                 let Some(peer) = state.peers.get(host) else { return };
-                if peer.frames.try_send(Frame::Cancel { call: *call }).is_err() {
+                if peer.outbox.send(Frame::Cancel { call: *call }).is_err() {
                     self.entry.event_log.link_full(host);
                 }
             }
@@ -155,7 +155,7 @@
             let submit = Submit::new(call, job, now);
             let sent = state.peers.get_mut(host).is_some_and(|peer| {
                 peer.handed_cores += peak_cores(&job.steps);
-                peer.frames.try_send(Frame::Submit(submit)).is_ok()
+                peer.outbox.send(Frame::Submit(submit)).is_ok()
             });
             if sent {
                 state
