Log who renews, by which roster and what is forgotten, and the build

A log didn't tell whether a host renewed an upstream's lease, for whose runs it did so, which rosters it had given away or been given, or why it took a run of an ended job for over.

- renewal_changed: what renewals of an upstream rest on, when that changes and other hosts matter to it, with the numbers of runs on rosters by host, and the strays.
- rosters_sent, rosters_received, rosters_dropped: with the link, the upstreams and the first runs.
- run_left_to_expiry: the run, why, and whether others may renew.
- run_ended also for runs of ended jobs that were concluded to be over, not listed as ended.

--- a/crates/heathertrack/src/pool.rs
+++ b/crates/heathertrack/src/pool.rs
@@ -36,7 +36,7 @@
 mod task;
 pub mod upstream;
 
-pub use effect::{Decision, Effect};
+pub use effect::{Decision, Effect, Renewal};
 pub use failed_run::FailedRun;
 pub use job::JobKey;
 pub use listing::{EndedRun, Listing, RunEnd, RunningRun};
--- a/crates/heathertrack/src/pool/effect.rs
+++ b/crates/heathertrack/src/pool/effect.rs
@@ -63,6 +63,44 @@
     Log(Decision),
 }
 
+/// Whether and for which runs a dispatcher renews the lease of an upstream. Failed polls, after which
+/// nothing is renewed either, are not part of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Renewal {
+    /// As the owner, for its own runs.
+    #[default]
+    OwnRuns,
+    /// As the owner, also for runs on rosters.
+    Rosters,
+    /// For its own runs, after it has released the upstream.
+    AfterRelease,
+    /// None: the upstream isn't owned yet.
+    Acquiring,
+    /// None: runs are listed that no live host is known to follow, or that are left to the owner.
+    Strays,
+    /// None: a run is left to the expiry of the lease.
+    Expiring,
+}
+
+impl Renewal {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Renewal::OwnRuns => "own runs",
+            Renewal::Rosters => "own runs and rosters",
+            Renewal::AfterRelease => "own runs after the release",
+            Renewal::Acquiring => "none before the upstream is owned",
+            Renewal::Strays => "none beside strays",
+            Renewal::Expiring => "none beside a run that has to expire",
+        }
+    }
+
+    /// Returns whether other dispatchers matter to it.
+    pub fn is_shared(self) -> bool {
+        !matches!(self, Renewal::OwnRuns | Renewal::Acquiring)
+    }
+}
+
 /// A decision about a request or a change in the assumed state of an upstream, with its inputs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -160,6 +198,37 @@
         /// The runs, and the process.
         loss: Loss,
     },
+    /// What decides about renewals of an upstream's lease has changed.
+    Renewal {
+        /// The upstream.
+        upstream: crate::name::Upstream,
+        /// Whether and for which runs its lease is renewed from here.
+        basis: Renewal,
+        /// Number of runs that this dispatcher follows there.
+        own: usize,
+        /// Numbers of runs there that are on rosters, by the hosts that follow them.
+        rosters: Vec<(crate::name::Host, usize)>,
+        /// Runs there that its last list showed and nobody is known to follow.
+        strays: Vec<(Task, u32)>,
+    },
+    /// A run is left to the expiry of its upstream's lease, and has left the rosters.
+    LeftToExpiry {
+        /// The task.
+        task: Task,
+        /// Number of the run.
+        number: u32,
+        /// The upstream.
+        upstream: crate::name::Upstream,
+        /// The reason.
+        why: &'static str,
+        /// Whether another dispatcher may renew its lease.
+        competitor_may_renew: bool,
+    },
+    /// The rosters of a host no longer count, as its link has ended.
+    RostersDropped {
+        /// The host.
+        host: crate::name::Host,
+    },
     /// The assumed state of an upstream changed.
     Upstream {
         /// The upstream.
--- a/crates/heathertrack/src/pool/machine/listings.rs
+++ b/crates/heathertrack/src/pool/machine/listings.rs
@@ -3,7 +3,7 @@
 use crate::pool::run::{Run, RunState};
 use crate::pool::upstream::{Ownership, SLOW_CLOCK_FACTOR, Upstream};
 use crate::pool::{
-    Decision, Effect, EndedRun, Listing, PollFailure, RunEnd, RunKey, Task, UpstreamKey,
+    Decision, Effect, EndedRun, Listing, PollFailure, Renewal, RunEnd, RunKey, Task, UpstreamKey,
 };
 use std::time::Duration;
 
@@ -407,9 +407,44 @@
         }
     }
 
+    /// Logs what renewals of an upstream rest on if that has changed and other dispatchers matter to it.
+    fn note_renewal(&mut self, key: UpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let name = &upstream.record.name;
+        let renewal = if upstream.foreign.has_strays {
+            Renewal::Strays
+        } else if upstream.expiring_runs > 0 {
+            Renewal::Expiring
+        } else {
+            match upstream.ownership {
+                Ownership::Acquiring => Renewal::Acquiring,
+                Ownership::Released => Renewal::AfterRelease,
+                Ownership::Owned if self.rosters.has_any(name) => Renewal::Rosters,
+                Ownership::Owned => Renewal::OwnRuns,
+            }
+        };
+        let before = std::mem::replace(&mut upstream.renewal, renewal);
+        if before == renewal || !(before.is_shared() || renewal.is_shared()) {
+            return;
+        }
+        let is_followed = |run: &&(Task, u32)| {
+            upstream.foreign.inherited.contains(*run) || self.rosters.contains(name, run)
+        };
+        let strays = upstream.foreign.runs.iter().filter(|run| !is_followed(run));
+        let decision = Decision::Renewal {
+            upstream: name.clone(),
+            basis: renewal,
+            own: upstream.runs.len(),
+            rosters: self.rosters.counts(name),
+            strays: strays.cloned().collect(),
+        };
+        self.effects.push(Effect::Log(decision));
+    }
+
     /// Sends a poll, unless the upstream is released and has no runs left.
     fn send_poll(&mut self, key: UpstreamKey, wait: Duration, now: Time) {
         let lease = self.options.lease;
+        self.note_renewal(key);
         let Some(upstream) = self.upstreams.get(key) else { return };
         let released = upstream.ownership == Ownership::Released && upstream.runs.is_empty();
         if released {
--- a/crates/heathertrack/src/pool/machine/orders.rs
+++ b/crates/heathertrack/src/pool/machine/orders.rs
@@ -161,6 +161,13 @@
         let upstream_key = run.upstream;
         if let Some(upstream) = self.upstreams.get_mut(upstream_key) {
             upstream.expiring_runs += 1;
+            self.effects.push(Effect::Log(Decision::LeftToExpiry {
+                task: run.task.clone(),
+                number: run.number,
+                upstream: upstream.record.name.clone(),
+                why,
+                competitor_may_renew: run.competitor_may_renew,
+            }));
         }
         self.has_stale_rosters = true;
         self.log_upstream_state(upstream_key, why, now);
@@ -199,9 +206,11 @@
         let Some(run) = self.remove_run(key) else { return };
         self.end_counts[how as usize] += 1;
         let age = now.since(run.ordered_at);
+        // A run whose job has ended matters if the end isn't one that the upstream has listed.
+        let is_concluded = matches!(how, RunEnd::Expired | RunEnd::Disappeared);
         if how != RunEnd::Done
             && let Some(upstream) = self.upstreams.get(run.upstream)
-            && run.job.is_some()
+            && (run.job.is_some() || is_concluded)
         {
             self.effects.push(Effect::Log(Decision::RunEnded {
                 task: run.task.clone(),
--- a/crates/heathertrack/src/pool/machine/upstreams.rs
+++ b/crates/heathertrack/src/pool/machine/upstreams.rs
@@ -2,7 +2,7 @@
 use crate::clock::Time;
 use crate::name;
 use crate::pool::upstream::{Ownership, Record, SLOW_CLOCK_FACTOR, Upstream};
-use crate::pool::{Roster, UpstreamKey};
+use crate::pool::{Decision, Effect, Roster, UpstreamKey};
 use std::time::Duration;
 
 /// Time for which a handover is remembered until the upstream is assigned to this dispatcher. Hosts
@@ -148,6 +148,10 @@
     /// absence from a list proves that they have ended.
     pub fn on_host_lost(&mut self, host: &name::Host, has_dispatched: bool, now: Time) {
         let had_rosters = self.rosters.remove(host);
+        if had_rosters {
+            let dropped = Decision::RostersDropped { host: host.clone() };
+            self.effects.push(Effect::Log(dropped));
+        }
         if !had_rosters && !has_dispatched {
             return;
         }
--- a/crates/heathertrack/src/pool/roster.rs
+++ b/crates/heathertrack/src/pool/roster.rs
@@ -90,6 +90,14 @@
         self.of(upstream).next().is_some()
     }
 
+    /// Returns how many runs on an upstream each host follows.
+    pub fn counts(&self, upstream: &name::Upstream) -> Vec<(name::Host, usize)> {
+        let count = |(host, rosters): (&name::Host, &HostRosters)| {
+            Some((host.clone(), rosters.by_upstream.get(upstream)?.runs.len()))
+        };
+        self.by_host.iter().filter_map(count).collect()
+    }
+
     fn of(&self, upstream: &name::Upstream) -> impl Iterator<Item = &Received> {
         self.by_host.values().filter_map(move |rosters| rosters.by_upstream.get(upstream))
     }
--- a/crates/heathertrack/src/pool/upstream.rs
+++ b/crates/heathertrack/src/pool/upstream.rs
@@ -3,7 +3,7 @@
 use super::health::Health;
 use super::job::{Id, Needs, Step};
 use super::speed::Speed;
-use super::{Listing, LossCause, RunKey, Task};
+use super::{Listing, LossCause, Renewal, RunKey, Task};
 use crate::clock::Time;
 use crate::name;
 use std::collections::{BTreeMap, BTreeSet};
@@ -143,6 +143,8 @@
     /// Whether this dispatcher has released the upstream with runs, and so given a roster of them away:
     /// its holder may go on renewing after the upstream is back.
     pub has_shared_runs: bool,
+    /// What the last poll's renewal or lack of one rested on.
+    pub renewal: Renewal,
     /// Number of failed polls in a row.
     pub failed_polls: u32,
     /// When an order or a poll first failed since the last answer, if one has.
@@ -197,6 +199,7 @@
             lease_expiry: now,
             former_owner_until: Time::ZERO,
             has_shared_runs: false,
+            renewal: Renewal::default(),
             failed_polls: 0,
             unresponsive_since: None,
             stopped_at: None,
--- a/crates/heathertrackd/src/entry/event_log.rs
+++ b/crates/heathertrackd/src/entry/event_log.rs
@@ -9,7 +9,7 @@
 use crate::log::Limiter;
 use heathertrack::name::{DataCentre, Host, Upstream};
 use heathertrack::pool::job::Id;
-use heathertrack::pool::{Decision, Evidence, FailedRun, Load, LostRun, StartAnswer, Task};
+use heathertrack::pool::{Decision, Evidence, FailedRun, Load, LostRun, Roster, StartAnswer, Task};
 use heathertrack_platform::{CallError, HostSettings, StartOrder};
 use serde_json::{Value, json};
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -27,6 +27,10 @@
 /// Maximum length of a text in a line, in bytes. Longer ones, such as a part of an unreadable item in
 /// an error message, are cut.
 const MAX_TEXT_BYTES: usize = 512;
+/// Maximum number of runs that a line names for one upstream.
+const MAX_LISTED_RUNS: usize = 8;
+/// Maximum number of rosters that a line lists.
+const MAX_LISTED_ROSTERS: usize = 16;
 /// Number of lines that can be queued for the writing thread. Further lines are dropped, because
 /// the event loop must not block on the log.
 const QUEUE_LINES: usize = 2_048;
@@ -169,7 +173,8 @@
         let fields = json!({
             "callers": settings.callers_address.to_string(), "peers": settings.peers_address.to_string(),
             "store": settings.store_address.to_string(), "cpu_share": settings.cpu_share,
-            "process": std::process::id(),
+            "version": env!("CARGO_PKG_VERSION"), "commit": env!("HEATHERTRACK_COMMIT"),
+            "sources": env!("HEATHERTRACK_SOURCES"), "process": std::process::id(),
         });
         self.write("started", fields);
     }
@@ -214,6 +219,25 @@
         self.write("peer_lost", fields);
     }
 
+    /// Logs the rosters of this host's runs that were sent to a peer. `is_changed` means that the peer holds
+    /// former ones.
+    pub fn rosters_sent(&self, peer: &Host, link: u64, rosters: &[&Roster], is_changed: bool) {
+        let fields = json!({
+            "peer": peer.as_str(), "link": link, "rosters": rosters.len(), "changed": is_changed,
+            "first": roster_rows(rosters),
+        });
+        self.write("rosters_sent", fields);
+    }
+
+    /// Logs the rosters that a peer has sent.
+    pub fn rosters_received(&self, peer: &Host, link: u64, rosters: &[&Roster]) {
+        let fields = json!({
+            "peer": peer.as_str(), "link": link, "rosters": rosters.len(),
+            "first": roster_rows(rosters),
+        });
+        self.write("rosters_received", fields);
+    }
+
     /// Logs a message that wasn't sent: the queue of a peer is full, which ends the link, or closed.
     pub fn link_full(&self, peer: &Host) {
         self.write("link_full", json!({ "peer": peer.as_str() }));
@@ -394,6 +418,26 @@
                         "runs": rows, "stopped_with_it": stopped_with_it, "age_ms": ms(*age) }),
                 );
             }
+            Decision::Renewal { upstream, basis, own, rosters, strays } => {
+                let rosters: Vec<Value> =
+                    rosters.iter().map(|(host, runs)| json!([host.as_str(), runs])).collect();
+                let rows: Vec<String> = strays.iter().take(MAX_LISTED_RUNS).map(run_name).collect();
+                self.write(
+                    "renewal_changed",
+                    json!({ "upstream": upstream.as_str(), "renews": basis.name(), "own": own,
+                        "rosters": rosters, "strays": strays.len(), "first_strays": rows }),
+                );
+            }
+            Decision::LeftToExpiry { task, number, upstream, why, competitor_may_renew } => self
+                .write(
+                    "run_left_to_expiry",
+                    json!({ "id": task.job.as_str(), "task": task.to_string(), "run": number,
+                        "upstream": upstream.as_str(), "why": why,
+                        "others_may_renew": competitor_may_renew }),
+                ),
+            Decision::RostersDropped { host } => {
+                self.write("rosters_dropped", json!({ "peer": host.as_str() }));
+            }
             Decision::Upstream { upstream, state, age } => self.write(
                 "upstream_changed",
                 json!({ "upstream": upstream.as_str(), "state": state, "age_ms": ms(*age) }),
@@ -402,6 +446,20 @@
     }
 }
 
+/// Returns the name of a run: its task and its number.
+fn run_name((task, number): &(Task, u32)) -> String {
+    format!("{task}#{number}")
+}
+
+/// Returns the rows of the first rosters: the upstream, the number of runs and the first of them.
+fn roster_rows(rosters: &[&Roster]) -> Vec<Value> {
+    let row = |roster: &&Roster| {
+        let runs: Vec<String> = roster.runs.iter().take(MAX_LISTED_RUNS).map(run_name).collect();
+        json!([roster.upstream.as_str(), roster.runs.len(), runs])
+    };
+    rosters.iter().take(MAX_LISTED_ROSTERS).map(row).collect()
+}
+
 /// Returns the row of a run in `runs_lost`: its task, its number, the process that it was ordered from,
 /// and the time since it was last reported as running.
 fn lost_run_row(run: &LostRun) -> Value {
--- a/crates/heathertrackd/src/entry/link/peer.rs
+++ b/crates/heathertrackd/src/entry/link/peer.rs
@@ -9,8 +9,8 @@
 use heathertrack::membership::depth::MirrorScope;
 use heathertrack::membership::links::FAST_HEARTBEAT_PERIOD;
 use heathertrack::name::{Host, Upstream};
-use heathertrack::pool::Load;
 use heathertrack::pool::job::Outcome;
+use heathertrack::pool::{Load, Roster};
 use heathertrack_platform::{HostRecord, Item, KeyKind, MetadataStore};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -294,9 +294,12 @@
         if !self.is_current_link(host, link_number) {
             return;
         }
+        let rosters: Vec<Roster> = rosters.into_iter().map(Roster::from).collect();
+        let received: Vec<&Roster> = rosters.iter().collect();
+        self.event_log.rosters_received(host, link_number, &received);
         self.with_pool(|pool, now| {
             for roster in rosters {
-                pool.on_roster(host, roster.into(), now);
+                pool.on_roster(host, roster, now);
             }
         });
     }
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -122,11 +122,18 @@
             if rosters.is_empty() {
                 continue;
             }
+            let is_held = |upstream| {
+                let holders = state.roster_holders.get(upstream);
+                holders.is_some_and(|holders| holders.contains_key(&host))
+            };
+            let is_changed = rosters.keys().any(is_held);
             let wire = rosters.values().map(RosterWire::from).collect();
             if peer.outbox.send(Frame::Rosters { rosters: wire }).is_err() {
                 self.event_log.link_full(&host);
                 continue;
             }
+            let sent: Vec<&Roster> = rosters.values().collect();
+            self.event_log.rosters_sent(&host, current.link, &sent, is_changed);
             for upstream in rosters.into_keys() {
                 let holders = state.roster_holders.entry(upstream).or_default();
                 holders.insert(host.clone(), current);
