Send a roster again when it has grown

What was sent is remembered with its runs, and a roster with others is sent again.

The tests of the model also play the seeds that showed a fault before its repair.

--- a/crates/heathertrack_model/tests/handovers.rs
+++ b/crates/heathertrack_model/tests/handovers.rs
@@ -41,9 +41,10 @@
 }
 
 /// Checks that no task has two runs at once, by the violations and by the runs alone.
-fn check(records: usize, others: usize) {
+/// `broken_before` are seeds that showed a fault.
+fn check(records: usize, others: usize, broken_before: &[u64]) {
     let mut broken = Vec::new();
-    for seed in seeds() {
+    for seed in seeds().chain(broken_before.iter().copied()) {
         let plan = handovers(seed, records, others);
 
         let Verdict { violations, spans, .. } = simulate(&plan);
@@ -61,17 +62,17 @@
 /// the owner renewed their leases (review case 6).
 #[test]
 fn no_task_runs_twice_while_records_expire() {
-    check(/* records: */ 5, /* others: */ 0);
+    check(/* records: */ 5, /* others: */ 0, &[28, 37, 80]);
 }
 
 #[test]
 fn no_task_runs_twice_while_records_expire_beside_a_single_event() {
-    check(/* records: */ 5, /* others: */ 1);
+    check(/* records: */ 5, /* others: */ 1, &[]);
 }
 
 #[test]
 fn no_task_runs_twice_while_records_expire_beside_several_events() {
-    check(/* records: */ 5, /* others: */ 4);
+    check(/* records: */ 5, /* others: */ 4, &[216]);
 }
 
 /// Upstreams, hosts and faults of the first data centre: the loss of one record leaves 21 upstreams to
@@ -80,9 +81,10 @@
 const FOLLOWER: usize = 1;
 
 /// Checks that no task has two runs at once under these faults, for each seed.
-fn check_order(faults: impl Fn(u64) -> Vec<(u64, FaultKind)>) {
+/// `broken_before` are seeds that showed the fault.
+fn check_order(broken_before: &[u64], faults: impl Fn(u64) -> Vec<(u64, FaultKind)>) {
     let mut broken = Vec::new();
-    for seed in seeds() {
+    for seed in seeds().chain(broken_before.iter().copied()) {
         let mut plan = handovers(seed, /* records: */ 1, /* others: */ 0);
         let to_fault = |(at, kind)| Fault { at: Duration::from_millis(at), kind };
         plan.faults = faults(seed).into_iter().map(to_fault).collect();
@@ -106,7 +108,7 @@
 /// owners. The one that is right gives runs up that the other one has on its rosters.
 #[test]
 fn a_host_that_owns_an_upstream_again_tells_its_former_owner_of_runs_that_it_gives_up() {
-    check_order(|seed| {
+    check_order(&[3, 12, 60], |seed| {
         let cut = |upstream| FaultKind::CutUpstream {
             host: FOLLOWER,
             upstream,
@@ -124,7 +126,7 @@
 /// not for as long as a suspension, renewed by rosters that had ended.
 #[test]
 fn an_owner_that_is_held_up_renews_no_run_that_was_given_up_meanwhile() {
-    check_order(|seed| {
+    check_order(&[], |seed| {
         let cut = |upstream| FaultKind::CutUpstream {
             host: FOLLOWER,
             upstream,
@@ -133,9 +135,10 @@
         };
         let loss = FaultKind::LoseRecord { upstream: 0, span: ms(6_000) };
         let freeze = FaultKind::Freeze { host: OWNER, span: ms(580) };
+        let leaving = FaultKind::Leaving { share: 1.0, span: ms(3_000) };
         let cuts = (1..22).map(|upstream| (2_400, cut(upstream)));
-        let freezes = (0..1).map(|_| (2_420 + 30 * (seed % 12), freeze.clone()));
-        [(1_500, loss)].into_iter().chain(cuts).chain(freezes).collect()
+        let held_up_at = 2_420 + 30 * (seed % 12);
+        [(0, leaving), (1_500, loss), (held_up_at, freeze)].into_iter().chain(cuts).collect()
     });
 }
 
@@ -143,7 +146,7 @@
 /// and starts a run there. This renews the lease of runs that the new owner no longer reaches.
 #[test]
 fn a_former_owner_that_starts_a_run_late_keeps_no_run_alive_that_is_taken_for_over() {
-    check_order(|seed| {
+    check_order(&[17, 60, 70], |seed| {
         let cut = |upstream| FaultKind::CutUpstream {
             host: FOLLOWER,
             upstream,
--- a/crates/heathertrackd/src/entry/ownership.rs
+++ b/crates/heathertrackd/src/entry/ownership.rs
@@ -114,29 +114,26 @@
             let Some(peer) = state.peers.get(&host).filter(|peer| peer.takes_rosters) else {
                 continue;
             };
-            let current = HeldRoster { link: peer.link_number, is_stale: false };
-            rosters.retain(|upstream, _| {
-                let holders = state.roster_holders.get(upstream);
-                holders.and_then(|holders| holders.get(&host)) != Some(&current)
+            let link = peer.link_number;
+            rosters.retain(|upstream, roster| {
+                let held = state.held_roster(upstream, &host);
+                held.is_none_or(|held| held.is_outdated(link, roster))
             });
             if rosters.is_empty() {
                 continue;
             }
-            let is_held = |upstream| {
-                let holders = state.roster_holders.get(upstream);
-                holders.is_some_and(|holders| holders.contains_key(&host))
-            };
-            let is_changed = rosters.keys().any(is_held);
+            let is_changed =
+                rosters.keys().any(|upstream| state.held_roster(upstream, &host).is_some());
             let wire = rosters.values().map(RosterWire::from).collect();
             if peer.outbox.send(Frame::Rosters { rosters: wire }).is_err() {
                 self.event_log.link_full(&host);
                 continue;
             }
             let sent: Vec<&Roster> = rosters.values().collect();
-            self.event_log.rosters_sent(&host, current.link, &sent, is_changed);
-            for upstream in rosters.into_keys() {
+            self.event_log.rosters_sent(&host, link, &sent, is_changed);
+            for (upstream, Roster { runs, .. }) in rosters {
                 let holders = state.roster_holders.entry(upstream).or_default();
-                holders.insert(host.clone(), current);
+                holders.insert(host.clone(), HeldRoster { link, is_stale: false, runs });
             }
         }
     }
@@ -319,6 +316,11 @@
         Assignment { assigned, owned, dispatchers, handovers, rosters }
     }
 
+    /// Returns the roster of this host's runs on an upstream that a peer holds.
+    fn held_roster(&self, upstream: &Upstream, peer: &Host) -> Option<&HeldRoster> {
+        self.roster_holders.get(upstream)?.get(peer)
+    }
+
     /// Adds the rosters that have changed for those of their holders that aren't sent them as owners.
     /// Such a host may not know yet that the upstream has passed on, or its record is gone, so that it
     /// is assigned to nobody while its owner goes on renewing the leases there.
--- a/crates/heathertrackd/src/entry/state.rs
+++ b/crates/heathertrackd/src/entry/state.rs
@@ -8,7 +8,7 @@
 use heathertrack::name::{Host, Upstream};
 use heathertrack::pool::job::{Id, Outcome};
 use heathertrack::pool::search::Search;
-use heathertrack::pool::{JobKey, Load, Options, Pool, upstream};
+use heathertrack::pool::{JobKey, Load, Options, Pool, Roster, roster, upstream};
 use heathertrack::routes::RouteTable;
 use heathertrack_platform::HostRecord;
 use std::cmp::Ordering;
@@ -95,12 +95,22 @@
 }
 
 /// A roster of this host's runs that a peer holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct HeldRoster {
     /// Number of the link on which it was sent. The peer drops the roster with the link.
     pub link: u64,
     /// Whether a run has left the roster that the peer still has to learn of.
     pub is_stale: bool,
+    /// The runs on it.
+    pub runs: BTreeSet<roster::Entry>,
+}
+
+impl HeldRoster {
+    /// Returns whether the peer has to be sent a roster on its present link in place of this one. Runs that
+    /// have ended may stay on it; the upstream's lists show their end.
+    pub fn is_outdated(&self, link: u64, roster: &Roster) -> bool {
+        self.link != link || self.is_stale || !roster.runs.is_subset(&self.runs)
+    }
 }
 
 /// Another entry host with a live link.
