--- a/crates/heathertrack_model/tests/handovers.rs
+++ b/crates/heathertrack_model/tests/handovers.rs
@@ -75,10 +75,12 @@
     check(/* records: */ 5, /* others: */ 4, &[216]);
 }
 
-/// Upstreams, hosts and faults of the first data centre: the loss of one record leaves 21 upstreams to
-/// host 0, which renews the runs of host 1 there by its rosters.
+/// Host of the first data centre that owns all upstreams there while one record is missing.
 const OWNER: usize = 0;
+/// The other host there, whose runs from before are on the owner's rosters.
 const FOLLOWER: usize = 1;
+/// Time at which the record of upstream 0 is lost, in milliseconds.
+const LOSS_MS: u64 = 1_500;
 
 /// Checks that no task has two runs at once under these faults, for each seed.
 /// `broken_before` are seeds that showed the fault.
@@ -104,21 +106,26 @@
     Duration::from_millis(ms)
 }
 
+/// Returns the loss of the record of upstream 0.
+fn record_loss(span_ms: u64) -> (u64, FaultKind) {
+    (LOSS_MS, FaultKind::LoseRecord { upstream: 0, span: ms(span_ms) })
+}
+
+/// Returns cuts of the follower's paths to the other upstreams, in the direction that the seed gives.
+fn path_losses(seed: u64, at_ms: u64, span_ms: u64) -> Vec<(u64, FaultKind)> {
+    let (back, span) = (seed % 2 == 0, ms(span_ms));
+    let cut = |upstream| FaultKind::CutUpstream { host: FOLLOWER, upstream, back, span };
+    (1..22).map(|upstream| (at_ms, cut(upstream))).collect()
+}
+
 /// The record is back, and one of the hosts sees that seconds later, so that both take themselves for
 /// owners. The one that is right gives runs up that the other one has on its rosters.
 #[test]
 fn a_host_that_owns_an_upstream_again_tells_its_former_owner_of_runs_that_it_gives_up() {
-    check_order(&[3, 12, 60], |seed| {
-        let cut = |upstream| FaultKind::CutUpstream {
-            host: FOLLOWER,
-            upstream,
-            back: seed % 2 == 0,
-            span: ms(5_000),
-        };
-        let loss = FaultKind::LoseRecord { upstream: 0, span: ms(800) };
+    check_order(&[17, 69, 83], |seed| {
         let stale = FaultKind::StaleReads { host: OWNER, span: ms(5_500) };
-        let cuts = (1..22).map(|upstream| (2_900 + 50 * (seed % 6), cut(upstream)));
-        [(1_500, loss), (2_200, stale)].into_iter().chain(cuts).collect()
+        let faults = vec![record_loss(800), (2_200, stale)];
+        [faults, path_losses(seed, 2_900 + 50 * (seed % 6), 5_000)].concat()
     });
 }
 
@@ -127,18 +134,10 @@
 #[test]
 fn an_owner_that_is_held_up_renews_no_run_that_was_given_up_meanwhile() {
     check_order(&[], |seed| {
-        let cut = |upstream| FaultKind::CutUpstream {
-            host: FOLLOWER,
-            upstream,
-            back: seed % 2 == 0,
-            span: ms(5_000),
-        };
-        let loss = FaultKind::LoseRecord { upstream: 0, span: ms(6_000) };
-        let freeze = FaultKind::Freeze { host: OWNER, span: ms(580) };
         let leaving = FaultKind::Leaving { share: 1.0, span: ms(3_000) };
-        let cuts = (1..22).map(|upstream| (2_400, cut(upstream)));
-        let held_up_at = 2_420 + 30 * (seed % 12);
-        [(0, leaving), (1_500, loss), (held_up_at, freeze)].into_iter().chain(cuts).collect()
+        let held_up = FaultKind::Freeze { host: OWNER, span: ms(580) };
+        let faults = vec![(0, leaving), record_loss(6_000), (2_420 + 30 * (seed % 12), held_up)];
+        [faults, path_losses(seed, 2_400, 5_000)].concat()
     });
 }
 
@@ -146,16 +145,9 @@
 /// and starts a run there. This renews the lease of runs that the new owner no longer reaches.
 #[test]
 fn a_former_owner_that_starts_a_run_late_keeps_no_run_alive_that_is_taken_for_over() {
-    check_order(&[17, 60, 70], |seed| {
-        let cut = |upstream| FaultKind::CutUpstream {
-            host: FOLLOWER,
-            upstream,
-            back: seed % 2 == 0,
-            span: ms(3_000),
-        };
-        let loss = FaultKind::LoseRecord { upstream: 0, span: ms(800) };
+    check_order(&[32, 41, 65], |seed| {
         let stale = FaultKind::StaleReads { host: OWNER, span: ms(1_100) };
-        let cuts = (1..22).map(|upstream| (2_450 + 50 * (seed % 12), cut(upstream)));
-        [(1_500, loss), (2_200, stale)].into_iter().chain(cuts).collect()
+        let faults = vec![record_loss(800), (2_200, stale)];
+        [faults, path_losses(seed, 2_450 + 50 * (seed % 12), 3_000)].concat()
     });
 }
