--- a/crates/heathertrack_model/tests/handovers.rs
+++ b/crates/heathertrack_model/tests/handovers.rs
@@ -118,15 +118,39 @@
     (1..22).map(|upstream| (at_ms, cut(upstream))).collect()
 }
 
-/// The record is back, and one of the hosts sees that seconds later, so that both take themselves for
-/// owners. The one that is right gives runs up that the other one has on its rosters.
+/// Returns faults after which two hosts take themselves for the owner of an upstream: its record is back,
+/// and one of them sees that seconds later. The other one loses its paths.
+fn two_owners(seed: u64) -> Vec<(u64, FaultKind)> {
+    let stale = FaultKind::StaleReads { host: OWNER, span: ms(5_500) };
+    let faults = vec![record_loss(800), (2_200, stale)];
+    [faults, path_losses(seed, 2_900 + 50 * (seed % 6), 5_000)].concat()
+}
+
+/// The host that is right gives runs up that the other one has on its rosters.
 #[test]
 fn a_host_that_owns_an_upstream_again_tells_its_former_owner_of_runs_that_it_gives_up() {
-    check_order(&[17, 69, 83], |seed| {
-        let stale = FaultKind::StaleReads { host: OWNER, span: ms(5_500) };
-        let faults = vec![record_loss(800), (2_200, stale)];
-        [faults, path_losses(seed, 2_900 + 50 * (seed % 6), 5_000)].concat()
-    });
+    check_order(&[17, 69, 83], two_owners);
+}
+
+#[test]
+fn the_log_tells_the_build_who_renews_by_which_roster_and_which_runs_are_given_up() {
+    let mut plan = handovers(/* seed: */ 9, /* records: */ 1, /* others: */ 0);
+    let to_fault = |(at, kind)| Fault { at: ms(at), kind };
+    plan.faults = two_owners(plan.seed).into_iter().map(to_fault).collect();
+
+    let log = simulate(&plan).log;
+
+    let has_line = |host: &str, parts: &[&str]| {
+        let host = format!("\"host\":\"{host}\"");
+        log.iter().any(|line| line.contains(&host) && parts.iter().all(|part| line.contains(part)))
+    };
+    assert!(has_line("h0", &["\"started\"", "\"commit\"", "\"sources\""]));
+    assert!(has_line("h1", &["\"rosters_sent\"", "\"peer\":\"h0\"", "\"changed\":false"]));
+    assert!(has_line("h0", &["\"rosters_received\"", "\"peer\":\"h1\""]));
+    assert!(has_line("h0", &["\"renewal_changed\"", "own runs and rosters", "[\"h1\","]));
+    assert!(has_line("h1", &["\"run_left_to_expiry\"", "\"others_may_renew\":true"]));
+    assert!(has_line("h1", &["\"rosters_sent\"", "\"peer\":\"h0\"", "\"changed\":true"]));
+    assert!(has_line("h0", &["\"renewal_changed\"", "none beside strays"]));
 }
 
 /// Hosts end their links to one that says nothing for 350 ms. A host that is held up for longer, and
