--- a/crates/heathertrack_model/tests/handovers.rs
+++ b/crates/heathertrack_model/tests/handovers.rs
@@ -113,7 +113,7 @@
 
 /// Returns cuts of the follower's paths to the other upstreams, in the direction that the seed gives.
 fn path_losses(seed: u64, at_ms: u64, span_ms: u64) -> Vec<(u64, FaultKind)> {
-    let (back, span) = (seed % 2 == 0, ms(span_ms));
+    let (back, span) = (seed.is_multiple_of(2), ms(span_ms));
     let cut = |upstream| FaultKind::CutUpstream { host: FOLLOWER, upstream, back, span };
     (1..22).map(|upstream| (at_ms, cut(upstream))).collect()
 }
