--- a/review/stand_in_3/src/bin/burst_of_large_jobs.rs
+++ b/review/stand_in_3/src/bin/burst_of_large_jobs.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-const CLIENTS: usize = 200;
+const CLIENTS: usize = 300;
 /// `recovery_s` of the sheet.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Ordinary requests that are sent after the recovery.
@@ -26,7 +26,7 @@
         return Verdict::CouldNotRun;
     };
     let tasks = if has_trouble() { 340 } else { 4 };
-    let job = Job { tasks, work_ms: 1_000, cpu: 40, ..Job::default() };
+    let job = Job { tasks, work_ms: 1_000, cpu: 30, ..Job::default() };
     deployment.crowd(CLIENTS, job, Duration::from_millis(1_500)).await;
     sleep(RECOVERY).await;
     let (begun, running) = deployment.runs();
--- a/review/stand_in_3/src/bin/many_tasks.rs
+++ b/review/stand_in_3/src/bin/many_tasks.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-const CLIENTS: usize = 300;
+const CLIENTS: usize = 600;
 
 fn main() -> ExitCode {
     play(case)
